Add the design, core library and interface headers

Cause: nothing existed yet; modules need one reference before parallel work. Conclusion: traffic between own processes uses Beast on Asio; nng's thread pool does not pay for itself at a few connections per process.

--- /dev/null
+++ b/src/libs/net/http_client.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "core/time_types.h"
+#include "net/http_message.h"
+
+#include <tl/expected.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace mjm {
+
+class io_runtime;
+
+enum class http_errc {
+    not_connected,   ///< Nothing was sent.
+    connection_lost, ///< Broke after the request had been sent at least in part.
+    timed_out,
+    bad_response, ///< Not a whole HTTP response.
+    too_many,     ///< The limit of connections to this address is reached; nothing was sent.
+};
+
+struct http_endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    friend auto operator<=>(const http_endpoint&, const http_endpoint&) = default;
+};
+
+struct http_client_settings {
+    std::size_t max_connections_per_endpoint = 64;
+    std::size_t max_response = 64 << 20;
+    duration connect_timeout{std::chrono::seconds{1}};
+    duration idle_timeout{std::chrono::seconds{30}}; ///< An unused connection is closed after this.
+};
+
+/// HTTP/1.1 client with persistent connections. Never repeats a request by itself, except on a reused
+/// connection that was closed before any byte of the request had been written.
+class http_client {
+public:
+    using callback = std::function<void(tl::expected<http_response, http_errc>)>;
+
+    http_client(io_runtime& runtime, const http_client_settings& settings);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    /// `done` is invoked once on the I/O thread, also when the client is destroyed first.
+    void send(const http_endpoint& endpoint, http_request request, duration timeout, callback done);
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace mjm
--- /dev/null
+++ b/src/libs/net/io_runtime.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace mjm {
+
+/// One Asio event loop and the thread that runs it.
+class io_runtime {
+public:
+    io_runtime();
+    /// Stops the loop and joins the thread.
+    ~io_runtime();
+    io_runtime(const io_runtime&) = delete;
+    io_runtime& operator=(const io_runtime&) = delete;
+
+    void start();
+    void stop();
+    [[nodiscard]] boost::asio::io_context& context();
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/scheduling/run_estimator.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/resources.h"
+#include "core/time_types.h"
+
+#include <memory>
+
+namespace mjm {
+
+/// Expected cost of a request.
+struct run_estimate {
+    duration run_time{0};
+    resources size;
+};
+
+/// Learns run times and sizes per service and team; declared values are only hints.
+class run_estimator {
+public:
+    run_estimator();
+    ~run_estimator();
+    run_estimator(const run_estimator&) = delete;
+    run_estimator& operator=(const run_estimator&) = delete;
+
+    /// Records what a finished task took. `measured` may hold zeros for kinds that were not reported.
+    void record(const service_id& service, const team_id& team, duration run_time, const resources& declared,
+                const resources& measured);
+    /// Estimate for a request that declares `declared` and `declared_run` (0 when not declared). The
+    /// estimate never exceeds `largest`, so that a wrong estimate cannot make a request unplaceable.
+    [[nodiscard]] run_estimate estimate(const service_id& service, const team_id& team,
+                                        const resources& declared, duration declared_run,
+                                        const resources& largest) const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace mjm
