Tell a stopped task from one that never started

Cause: after a lost connection the owner must know whether a start can still arrive before it may say "not run" or retry. Change: task_state::never_started, answered by a stop that arrives before the start; the target then refuses that start.

--- a/src/libs/platform/target_client.h
+++ b/src/libs/platform/target_client.h
@@ -87,14 +87,20 @@
     friend bool operator==(const lease_token&, const lease_token&) = default;
 };
 
-enum class task_state { running, finished, stopped };
+enum class task_state {
+    running,
+    finished,
+    stopped,       ///< Stopped while it ran; it may have run in part.
+    never_started, ///< Its start had not arrived and is refused from now on.
+};
 
 template <>
 struct enum_names<task_state> {
-    static constexpr std::array<std::pair<task_state, std::string_view>, 3> entries{{
+    static constexpr std::array<std::pair<task_state, std::string_view>, 4> entries{{
         {task_state::running, "running"},
         {task_state::finished, "finished"},
         {task_state::stopped, "stopped"},
+        {task_state::never_started, "never_started"},
     }};
 };
 
@@ -165,7 +171,7 @@
     /// Waits for the end of a task that was started before and returns its retained result.
     virtual void fetch(const target_endpoint& target, const task_id& task, result_callback done) = 0;
     /// Stops a task, or prevents a start that has not arrived yet. Answers the state that the task is
-    /// left in: `finished` when it had already ended, else `stopped`.
+    /// left in: `finished` when it had already ended, `stopped` or `never_started`.
     virtual void stop(const target_endpoint& target, const lease_token& token, const task_id& task,
                       stop_callback done) = 0;
 };
