--- a/src/libs/core/task_types.cpp
+++ b/src/libs/core/task_types.cpp
@@ -14,6 +14,7 @@
     case reason::key_invalid:
         return 401;
     case reason::unknown_service:
+    case reason::unknown_request:
         return 404;
     case reason::ticket_expired:
         return 410;
--- a/src/libs/core/task_types.h
+++ b/src/libs/core/task_types.h
@@ -65,12 +65,14 @@
     shard_unreachable,  ///< The owner of the ticket's shard cannot be reached.
     shard_recovering,   ///< The new owner cannot tell yet whether the request was started.
     memory_lost,        ///< A target that could have run the request lost its memory.
+    unknown_request,    ///< No such request is known.
     moved,              ///< The shard has another owner; used between processes only.
+    pending,            ///< Not ended yet; used between processes only.
 };
 
 template <>
 struct enum_names<reason> {
-    static constexpr std::array<std::pair<reason, std::string_view>, 23> entries{{
+    static constexpr std::array<std::pair<reason, std::string_view>, 25> entries{{
         {reason::none, "none"},
         {reason::bad_request, "bad_request"},
         {reason::key_missing, "key_missing"},
@@ -93,7 +95,9 @@
         {reason::shard_unreachable, "shard_unreachable"},
         {reason::shard_recovering, "shard_recovering"},
         {reason::memory_lost, "memory_lost"},
+        {reason::unknown_request, "unknown_request"},
         {reason::moved, "moved"},
+        {reason::pending, "pending"},
     }};
 };
 
--- a/src/libs/platform/peer_client.h
+++ b/src/libs/platform/peer_client.h
@@ -40,10 +40,28 @@
     friend bool operator==(const peer_endpoint&, const peer_endpoint&) = default;
 };
 
-/// A request on its way to the owner of a shard.
+enum class forward_mode {
+    submit, ///< Run the request, or join it when it is known, and wait for its outcome.
+    wait,   ///< Wait for the outcome of a known request.
+    peek,   ///< Answer at once; `pending` when a known request has not ended.
+};
+
+template <>
+struct enum_names<forward_mode> {
+    static constexpr std::array<std::pair<forward_mode, std::string_view>, 3> entries{{
+        {forward_mode::submit, "submit"},
+        {forward_mode::wait, "wait"},
+        {forward_mode::peek, "peek"},
+    }};
+};
+
+/// A request on its way to the owner of a shard. The owner answers `moved` unless `epoch` is its own, so
+/// that a copy that arrives late, after a change of owner, is never run.
 struct forwarded_request {
     shard_id shard;
-    request work;
+    shard_epoch epoch = 0;
+    forward_mode mode = forward_mode::submit;
+    request work; ///< Only `id` is used with `wait` and `peek`.
 };
 
 /// Calls to other entry hosts. Callbacks follow the same rules as those of `kv_store`.
@@ -62,7 +80,7 @@
     virtual void forward(const peer_endpoint& peer, const forwarded_request& message,
                          outcome_callback done) = 0;
     /// Cancels a request at the shard's owner; answers the outcome.
-    virtual void cancel(const peer_endpoint& peer, const shard_id& shard, const request_id& request,
+    virtual void cancel(const peer_endpoint& peer, const shard_id& shard, const request_id& request_to_cancel,
                         outcome_callback done) = 0;
     /// Exchanges a small status message (CBOR); the answer is the peer's own.
     virtual void exchange_status(const peer_endpoint& peer, const std::string& message,
--- a/src/libs/platform/target_client.h
+++ b/src/libs/platform/target_client.h
@@ -117,8 +117,8 @@
     std::string boot_id;
     std::int64_t slots = 0;
     bool leaving = false;
-    /// False when the target's memory may not reach back over the retention time (it booted since).
-    bool memory_intact = true;
+    /// Time since the target booted; it remembers no task of before.
+    duration uptime{0};
     std::vector<task_report> tasks; ///< Running, and finished ones still retained.
 };
 
--- a/src/libs/platform/tests/fakes/target_model.cpp
+++ b/src/libs/platform/tests/fakes/target_model.cpp
@@ -47,7 +47,7 @@
     lease_ = token;
     lease_ttl_ = ttl;
     lease_ends_ = now + ttl;
-    lease_grant grant{boot_id_, settings_.slots, leaving_, now - booted_ >= settings_.retention, {}};
+    lease_grant grant{boot_id_, settings_.slots, leaving_, now - booted_, {}};
     for (const auto& [task, record] : tasks_)
         grant.tasks.push_back(record.report);
     return grant;
--- /dev/null
+++ b/src/plugins/entry/entry_node.cpp
@@ -0,0 +1,353 @@
+#include "entry/entry_node.h"
+
+#include "core/invariant.h"
+
+#include <algorithm>
+
+namespace mjm {
+
+namespace {
+
+outcome moved()
+{
+    return outcome{outcome_kind::refused_not_run, reason::moved, duration{0}, {}};
+}
+
+} // namespace
+
+entry_node::entry_node(const entry_node_settings& settings, const entry_services& services,
+                       std::function<void(const node_event&)> report)
+    : settings_{settings}, services_{services}, report_{std::move(report)}, membership_{settings.self,
+                                                                                        services.store,
+                                                                                        services.random,
+                                                                                        settings.membership},
+      replica_{services.store, settings.replica}, freshness_{settings.freshness}, front_{*this, services.time,
+                                                                                         services.random,
+                                                                                         services.peers,
+                                                                                         settings.front}
+{
+    membership_.on_gain([this](const shard_id& shard, shard_epoch epoch) { gain(shard, epoch); });
+    membership_.on_loss([this](const shard_id& shard) { lose(shard); });
+    replica_.on_install([this](const std::shared_ptr<const fleet_config>& config) { install(config); });
+}
+
+entry_node::~entry_node()
+{
+    for (auto& [shard, owned] : owned_)
+        owned->close();
+}
+
+void entry_node::tick()
+{
+    const timestamp now = services_.time.now();
+    retired_.clear();
+    membership_.tick(now);
+    replica_.tick(now);
+    update_freshness();
+    for (auto& [shard, owned] : owned_)
+        owned->tick(now);
+    front_.tick();
+    if (now >= next_status_) {
+        next_status_ = now + settings_.status_interval;
+        exchange_status();
+        update_remote_usage();
+    }
+    if (now >= next_host_list_ && !reading_host_list_) {
+        next_host_list_ = now + settings_.host_list_interval;
+        read_host_list();
+    }
+}
+
+void entry_node::install(const std::shared_ptr<const fleet_config>& config)
+{
+    membership_.set_shards(config->shards());
+    membership_.set_config_version(config->version);
+    freshness_.set_version(config->version);
+    for (auto& [shard, owned] : owned_)
+        owned->configure(*config);
+    if (report_)
+        report_(node_event{"config_installed", {}, {}, {}, {}, {}, config->version});
+}
+
+void entry_node::gain(const shard_id& shard, shard_epoch epoch)
+{
+    lose(shard);
+    const target_lease::confirm_function confirm = [this, shard, epoch](std::function<void(bool)> done) {
+        membership_.confirm_epoch(shard, epoch, std::move(done));
+    };
+    std::unique_ptr<owned_shard> owned = std::make_unique<owned_shard>(
+        shard, epoch, services_.store, services_.time, services_.random, services_.targets, confirm,
+        [this](const shard_event_record& event) {
+            if (report_)
+                report_(node_event{std::string{name_of(event.kind)}, event.shard, event.request, event.team,
+                                   event.target, event.detail, 0});
+        },
+        settings_.permits, settings_.shards);
+    if (replica_.current())
+        owned->configure(*replica_.current());
+    owned_.emplace(shard, std::move(owned));
+    report("shard_gained", shard, std::to_string(epoch));
+}
+
+void entry_node::lose(const shard_id& shard)
+{
+    const auto it = owned_.find(shard);
+    if (it == owned_.end())
+        return;
+    std::unique_ptr<owned_shard> owned = std::move(it->second);
+    owned_.erase(it);
+    owned->close();
+    retired_.push_back(std::move(owned));
+    report("shard_lost", shard, {});
+}
+
+std::optional<shard_route> entry_node::route(const shard_id& shard) const
+{
+    const auto it = owned_.find(shard);
+    if (it != owned_.end())
+        return shard_route{it->second->owner().epoch(), settings_.self.endpoint, &it->second->owner()};
+    const std::optional<shard_owner_record> record = membership_.owner_of(shard);
+    if (!record || record->owner == settings_.self.endpoint.id)
+        return std::nullopt;
+    for (const member& peer : membership_.members()) {
+        if (peer.endpoint.id == record->owner)
+            return shard_route{record->epoch, peer.endpoint, nullptr};
+    }
+    return std::nullopt;
+}
+
+std::optional<shard_load> entry_node::load(const shard_id& shard) const
+{
+    const auto it = owned_.find(shard);
+    if (it != owned_.end())
+        return it->second->owner().load();
+    return fleet_.load(shard, services_.time.now());
+}
+
+void entry_node::on_forward(const forwarded_request& message, outcome_function done)
+{
+    const auto it = owned_.find(message.shard);
+    if (it == owned_.end() || it->second->owner().epoch() != message.epoch) {
+        done(moved());
+        return;
+    }
+    shard_owner& owner = it->second->owner();
+    if (message.mode == forward_mode::submit)
+        owner.submit(message.work, std::move(done));
+    else
+        owner.look_up(message.work.id, message.mode == forward_mode::wait, std::move(done));
+}
+
+void entry_node::on_cancel(const shard_id& shard, const request_id& id, outcome_function done)
+{
+    const auto it = owned_.find(shard);
+    if (it == owned_.end())
+        done(moved());
+    else
+        it->second->owner().cancel(id, std::move(done));
+}
+
+bool entry_node::store_reachable() const
+{
+    const std::optional<timestamp> contact = membership_.last_store_contact();
+    return contact && services_.time.now() - *contact <= settings_.freshness.fresh_for;
+}
+
+void entry_node::update_freshness()
+{
+    std::map<host_id, zone_id> committers;
+    std::set<host_id> hosts;
+    for (const member& peer : membership_.members()) {
+        committers[peer.endpoint.id] = peer.zone;
+        hosts.insert(peer.endpoint.id);
+    }
+    committers[settings_.self.endpoint.id] = settings_.self.zone;
+    freshness_.set_committers(committers, settings_.self.endpoint.id);
+    freshness_.set_self_unreachable(!store_reachable());
+    if (const std::optional<timestamp> confirmed = replica_.last_confirmed())
+        freshness_.confirmed_at(*confirmed);
+    if (!hosts.empty())
+        fleet_.forget_except(hosts);
+}
+
+status_message entry_node::own_status()
+{
+    status_message message;
+    message.host = settings_.self.endpoint.id;
+    message.zone = settings_.self.zone;
+    message.sent = hybrid_.tick(services_.time.wall_now());
+    message.config_version = replica_.current() ? replica_.current()->version : 0;
+    if (const std::optional<timestamp> confirmed = replica_.last_confirmed())
+        message.confirmed_age = services_.time.now() - *confirmed;
+    message.store_reachable = store_reachable();
+    for (const auto& [shard, owned] : owned_) {
+        message.shards.push_back(shard_status{shard, owned->owner().epoch(), owned->owner().load()});
+        for (const auto& [team, count] : owned->owner().running_by_team())
+            message.running[team] += count;
+    }
+    return message;
+}
+
+void entry_node::exchange_status()
+{
+    std::vector<member> peers;
+    for (const member& peer : membership_.members()) {
+        if (peer.endpoint.id != settings_.self.endpoint.id)
+            peers.push_back(peer);
+    }
+    // While the store cannot be reached, every host is asked, since only all of them together can rule out
+    // a change that this host has not seen.
+    std::size_t count = store_reachable() ? std::min(settings_.status_fanout, peers.size()) : peers.size();
+    for (; count > 0; --count) {
+        const std::size_t chosen = services_.random.below(peers.size());
+        send_status(peers[chosen]);
+        peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+}
+
+void entry_node::send_status(const member& peer)
+{
+    const timestamp asked = services_.time.now();
+    services_.peers.exchange_status(peer.endpoint, encode_status(own_status()),
+                                    [this, asked, alive = std::weak_ptr<int>{alive_}](
+                                        const tl::expected<std::string, peer_errc>& answer) {
+                                        if (alive.expired() || !answer)
+                                            return;
+                                        const tl::expected<status_message, status_errc> message =
+                                            decode_status(*answer);
+                                        if (message)
+                                            receive_status(*message, asked);
+                                        else
+                                            ++malformed_;
+                                    });
+}
+
+std::string entry_node::on_status(const std::string& message)
+{
+    const tl::expected<status_message, status_errc> decoded = decode_status(message);
+    if (decoded)
+        receive_status(*decoded, std::nullopt);
+    else
+        ++malformed_;
+    return encode_status(own_status());
+}
+
+void entry_node::receive_status(const status_message& message, std::optional<timestamp> asked)
+{
+    const timestamp now = services_.time.now();
+    hybrid_.observe(message.sent, services_.time.wall_now());
+    fleet_.record(message, now);
+    if (message.store_reachable) {
+        freshness_.store_reachable_reported(message.host);
+        // Counted from the question, so that the time on the way errs on the side of older.
+        if (asked && message.confirmed_age >= duration{0})
+            replica_.confirm(message.config_version, *asked - message.confirmed_age);
+    } else if (asked) {
+        freshness_.store_unreachable_reported(message.host, *asked, message.config_version);
+    }
+}
+
+void entry_node::update_remote_usage()
+{
+    const std::shared_ptr<const fleet_config> config = replica_.current();
+    if (!config)
+        return;
+    std::int64_t slots = 0;
+    for (const auto& [id, target] : config->targets)
+        slots += target.capacity.slots;
+    if (slots == 0)
+        return;
+    std::map<team_id, std::int64_t> fleet_total = fleet_.running_elsewhere();
+    std::map<shard_id, std::map<team_id, std::int64_t>> local;
+    for (const auto& [shard, owned] : owned_) {
+        local[shard] = owned->owner().running_by_team();
+        for (const auto& [team, count] : local[shard])
+            fleet_total[team] += count;
+    }
+    for (auto& [shard, owned] : owned_) {
+        for (const auto& [team, record] : config->teams) {
+            const std::int64_t here = local[shard][team];
+            const std::int64_t elsewhere = fleet_total[team] - here;
+            owned->owner().set_remote_usage(team,
+                                            static_cast<double>(elsewhere) / static_cast<double>(slots));
+        }
+    }
+}
+
+void entry_node::read_host_list()
+{
+    reading_host_list_ = true;
+    services_.hosts.read([this, alive = std::weak_ptr<int>{alive_}](
+                             const tl::expected<std::vector<listed_host>, store_errc>& listed) {
+        if (alive.expired())
+            return;
+        reading_host_list_ = false;
+        if (listed)
+            apply_host_list(*listed);
+    });
+}
+
+void entry_node::apply_host_list(const std::vector<listed_host>& listed)
+{
+    const std::shared_ptr<const fleet_config> config = replica_.current();
+    if (!config)
+        return;
+    const timestamp now = services_.time.now();
+    std::map<target_id, host_state> states;
+    for (const listed_host& host : listed)
+        states[host.id] = host.state;
+    for (const auto& [id, target] : config->targets) {
+        const auto it = states.find(id);
+        if (it != states.end())
+            unlisted_since_.erase(id);
+        else
+            unlisted_since_.try_emplace(id, now);
+        const bool leaving = it != states.end() && it->second == host_state::leaving;
+        const bool gone = it == states.end() && now - unlisted_since_.at(id) >= settings_.host_list_lag;
+        for (auto& [shard, owned] : owned_)
+            owned->owner().set_listed_state(id, leaving, gone);
+    }
+}
+
+void entry_node::drain()
+{
+    if (draining_)
+        return;
+    draining_ = true;
+    front_.drain();
+    membership_.leave(services_.time.now());
+    report("drain_started", {}, {});
+}
+
+bool entry_node::drained() const
+{
+    return draining_ && membership_.has_left() && owned_.empty() && front_.outstanding() == 0;
+}
+
+bool entry_node::ready() const
+{
+    return !draining_ && replica_.current() != nullptr;
+}
+
+node_status entry_node::status() const
+{
+    node_status result;
+    result.host = settings_.self.endpoint.id;
+    result.zone = settings_.self.zone;
+    result.config_version = replica_.current() ? replica_.current()->version : 0;
+    result.keys = keys();
+    result.store_reachable = store_reachable();
+    result.draining = draining_;
+    result.outstanding = front_.outstanding();
+    for (const auto& [shard, owned] : owned_)
+        result.shards.push_back(shard_status{shard, owned->owner().epoch(), owned->owner().load()});
+    return result;
+}
+
+void entry_node::report(std::string kind, const shard_id& shard, std::string detail) const
+{
+    if (report_)
+        report_(node_event{std::move(kind), shard, {}, {}, {}, std::move(detail), 0});
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/entry/entry_node.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "configuration/config_replica.h"
+#include "configuration/key_freshness.h"
+#include "core/hybrid_clock.h"
+#include "entry/fleet_view.h"
+#include "entry/owned_shard.h"
+#include "front/front.h"
+#include "membership/membership_agent.h"
+#include "platform/host_list.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mjm {
+
+struct entry_node_settings {
+    member self; ///< Host, zone and peer address; the incarnation is found in the store.
+    membership_settings membership;
+    config_replica_settings replica;
+    key_freshness_settings freshness;
+    permit_agent_settings permits;
+    shard_owner_settings shards;
+    front_settings front;
+    duration status_interval{std::chrono::seconds{1}};
+    std::size_t status_fanout = 2;
+    duration host_list_interval{std::chrono::seconds{5}};
+    /// A configured target that the platform's list has left out for this long is gone.
+    duration host_list_lag{std::chrono::seconds{60}};
+};
+
+/// Something that happened on this host, for the time line.
+struct node_event {
+    std::string kind;
+    shard_id shard;
+    request_id request;
+    team_id team;
+    target_id target;
+    std::string detail;
+    std::uint64_t config_version = 0;
+};
+
+/// Outward services that a node works with.
+struct entry_services {
+    kv_store& store;
+    target_client& targets;
+    peer_client& peers;
+    host_list& hosts;
+    const clock& time;
+    random_source& random;
+};
+
+struct node_status {
+    host_id host;
+    zone_id zone;
+    std::uint64_t config_version = 0;
+    key_policy keys = key_policy::refusing;
+    bool store_reachable = false;
+    bool draining = false;
+    std::size_t outstanding = 0;
+    std::vector<shard_status> shards;
+};
+
+/// One entry host as a single state machine: everything but sockets and threads. An outside bench drives it
+/// through `entry_services` and the members below; all calls come from one thread.
+class entry_node final : private routing_view {
+public:
+    entry_node(const entry_node_settings& settings, const entry_services& services,
+               std::function<void(const node_event&)> report);
+    ~entry_node() override;
+
+    /// Drives all timers; call every few tens of milliseconds.
+    void tick();
+
+    [[nodiscard]] front& callers() { return front_; }
+    /// A request, look-up or cancellation that another entry host forwarded.
+    void on_forward(const forwarded_request& message, outcome_function done);
+    void on_cancel(const shard_id& shard, const request_id& id, outcome_function done);
+    /// Answers a status exchange; malformed messages are answered all the same and counted.
+    [[nodiscard]] std::string on_status(const std::string& message);
+
+    /// Begins a graceful shutdown: refuses new work, hands shards over, sees outstanding requests through.
+    void drain();
+    [[nodiscard]] bool drained() const;
+    /// True when this host can take callers' work.
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] node_status status() const;
+
+    [[nodiscard]] std::shared_ptr<const fleet_config> config() const override { return replica_.current(); }
+    [[nodiscard]] membership_agent& membership() { return membership_; }
+    [[nodiscard]] std::size_t malformed_status_messages() const { return malformed_; }
+
+private:
+    [[nodiscard]] key_policy keys() const override { return freshness_.policy(services_.time.now()); }
+    [[nodiscard]] std::optional<shard_route> route(const shard_id& shard) const override;
+    [[nodiscard]] std::optional<shard_load> load(const shard_id& shard) const override;
+    [[nodiscard]] const zone_id& zone() const override { return settings_.self.zone; }
+
+    void install(const std::shared_ptr<const fleet_config>& config);
+    void gain(const shard_id& shard, shard_epoch epoch);
+    void lose(const shard_id& shard);
+    void update_freshness();
+    void exchange_status();
+    void send_status(const member& peer);
+    void receive_status(const status_message& message, std::optional<timestamp> asked);
+    void update_remote_usage();
+    void read_host_list();
+    void apply_host_list(const std::vector<listed_host>& listed);
+    [[nodiscard]] status_message own_status();
+    [[nodiscard]] bool store_reachable() const;
+    void report(std::string kind, const shard_id& shard, std::string detail) const;
+
+    entry_node_settings settings_;
+    entry_services services_;
+    std::function<void(const node_event&)> report_;
+    membership_agent membership_;
+    config_replica replica_;
+    key_freshness freshness_;
+    fleet_view fleet_;
+    hybrid_clock hybrid_;
+    std::map<shard_id, std::unique_ptr<owned_shard>> owned_;
+    std::vector<std::unique_ptr<owned_shard>> retired_; ///< Destroyed at the next tick, outside callbacks.
+    front front_;
+    std::map<target_id, timestamp> unlisted_since_;
+    timestamp next_status_;
+    timestamp next_host_list_;
+    bool reading_host_list_ = false;
+    bool draining_ = false;
+    std::size_t malformed_ = 0;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/front/shard_chooser.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "core/random_source.h"
+#include "front/routing_view.h"
+
+#include <optional>
+#include <set>
+
+namespace mjm {
+
+/// Chooses the shard for a new request of `service`: the one in the own zone while it has room, else one
+/// of all zones in proportion to their room. Nothing when no shard outside `avoid` has a known owner.
+[[nodiscard]] std::optional<shard_id> choose_shard(const routing_view& view, const service_id& service,
+                                                   const std::set<shard_id>& avoid, random_source& random);
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/shard/target_lease.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/enum_names.h"
+#include "platform/target_client.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace mjm {
+
+struct target_lease_settings {
+    duration ttl{std::chrono::seconds{60}}; ///< Bounds only how long orphaned tasks run.
+    duration renew_interval{std::chrono::seconds{10}};
+    duration reopen_delay{std::chrono::milliseconds{500}};
+    /// Two clocks that both run within 5% of real time differ by less than this factor.
+    double clock_rate_margin = 1.1;
+};
+
+enum class lease_state { closed, opening, open, fenced };
+
+template <>
+struct enum_names<lease_state> {
+    static constexpr std::array<std::pair<lease_state, std::string_view>, 4> entries{{
+        {lease_state::closed, "closed"},
+        {lease_state::opening, "opening"},
+        {lease_state::open, "open"},
+        {lease_state::fenced, "fenced"},
+    }};
+};
+
+/// One target's lease as its shard's owner holds it: opens it by challenge and confirmed epoch, renews it,
+/// and reopens it after a restart of the target.
+class target_lease : public std::enable_shared_from_this<target_lease> {
+public:
+    /// Confirms by a fresh store read that the epoch is current.
+    using confirm_function = std::function<void(std::function<void(bool)>)>;
+
+    target_lease(const target_endpoint& endpoint, const lease_token& token, const clock& time,
+                 target_client& targets, confirm_function confirm, const target_lease_settings& settings);
+
+    /// The lease was opened. `rebooted` is true when the target had another boot identifier before, so
+    /// that every task of the earlier boot has ended.
+    void on_open(std::function<void(const lease_grant&, bool rebooted)> callback)
+    {
+        on_open_ = std::move(callback);
+    }
+    /// The target reported its usage.
+    void on_usage(std::function<void(const usage_report&)> callback) { on_usage_ = std::move(callback); }
+    /// A newer lease holds the target.
+    void on_fenced(std::function<void()> callback) { on_fenced_ = std::move(callback); }
+
+    void tick();
+    /// Stops renewing and opening.
+    void abandon() { abandoned_ = true; }
+
+    /// A call under this lease was refused; reopens or gives up as the error says.
+    void call_refused(target_errc ec);
+
+    [[nodiscard]] lease_state state() const { return state_; }
+    /// True once a lease has been open under this epoch: no earlier owner can start anything any more.
+    [[nodiscard]] bool ever_open() const { return ever_open_; }
+    [[nodiscard]] bool reachable() const { return state_ == lease_state::open && failed_renewals_ < 2; }
+    [[nodiscard]] const lease_token& token() const { return token_; }
+    [[nodiscard]] const target_endpoint& endpoint() const { return endpoint_; }
+    /// Time after which every task started under this lease has ended at the target, unless the lease is
+    /// renewed again.
+    [[nodiscard]] timestamp tasks_end_by() const { return tasks_end_by_; }
+
+private:
+    void open();
+    void challenge_received(const target_challenge& answer);
+    void epoch_confirmed(const target_challenge& answer, bool confirmed);
+    void opened(const tl::expected<lease_grant, target_errc>& result);
+    void renew();
+    void renewed(timestamp sent, const tl::expected<usage_report, target_errc>& result);
+    void retry_later();
+    void extend(timestamp sent);
+
+    target_endpoint endpoint_;
+    lease_token token_;
+    const clock& time_;
+    target_client& targets_;
+    confirm_function confirm_;
+    target_lease_settings settings_;
+    std::function<void(const lease_grant&, bool)> on_open_;
+    std::function<void(const usage_report&)> on_usage_;
+    std::function<void()> on_fenced_;
+
+    lease_state state_ = lease_state::closed;
+    bool ever_open_ = false;
+    bool abandoned_ = false;
+    bool renewing_ = false;
+    unsigned failed_renewals_ = 0;
+    timestamp next_action_;
+    timestamp tasks_end_by_;
+};
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/shard/task_ledger.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/resources.h"
+#include "shard/task_attempt.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace mjm {
+
+/// A task that may be running on a target.
+struct active_task {
+    task_id id;
+    request_id request;
+    team_id team;
+    target_id target;
+    resources need;
+    std::shared_ptr<task_attempt> attempt;
+};
+
+/// Tasks of one shard that have not provably ended, with their sums per team and per target.
+class task_ledger {
+public:
+    void add(active_task task);
+    /// Removes a task; nothing when it is not there.
+    [[nodiscard]] std::optional<active_task> remove(const task_id& id);
+    [[nodiscard]] const active_task* find(const task_id& id) const;
+
+    [[nodiscard]] std::int64_t in_use(const team_id& team) const;
+    [[nodiscard]] resources reserved(const target_id& target) const;
+    [[nodiscard]] std::int64_t running_on(const target_id& target) const { return reserved(target).slots; }
+    [[nodiscard]] std::vector<task_id> tasks_on(const target_id& target) const;
+    [[nodiscard]] std::vector<std::shared_ptr<task_attempt>> attempts() const;
+    [[nodiscard]] const std::map<team_id, std::int64_t>& by_team() const { return by_team_; }
+    [[nodiscard]] std::size_t size() const { return tasks_.size(); }
+
+private:
+    std::unordered_map<task_id, active_task> tasks_;
+    std::map<team_id, std::int64_t> by_team_;
+    std::map<target_id, resources> by_target_;
+};
+
+} // namespace mjm
