--- a/src/plugins/scheduling/run_estimator.h
+++ b/src/plugins/scheduling/run_estimator.h
@@ -25,6 +25,10 @@
     /// Records what a finished task took. `measured` may hold zeros for kinds that were not reported.
     void record(const service_id& service, const team_id& team, duration run_time, const resources& declared,
                 const resources& measured);
+    /// As above, for a request that declared its run time (0 when it did not); teaches how far the team's
+    /// declarations are off.
+    void record(const service_id& service, const team_id& team, duration run_time, duration declared_run,
+                const resources& declared, const resources& measured);
     /// Estimate for a request that declares `declared` and `declared_run` (0 when not declared). The
     /// estimate never exceeds `largest`, so that a wrong estimate cannot make a request unplaceable.
     [[nodiscard]] run_estimate estimate(const service_id& service, const team_id& team,
--- /dev/null
+++ b/src/plugins/scheduling/tests/tst_fair_queue.cpp
@@ -0,0 +1,3 @@
+#include "scheduling/fair_queue.h"
+
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/plugins/scheduling/tests/tst_placement.cpp
@@ -0,0 +1,3 @@
+#include "scheduling/placement.h"
+
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/plugins/scheduling/tests/tst_retry_budget.cpp
@@ -0,0 +1,3 @@
+#include "scheduling/retry_budget.h"
+
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/plugins/scheduling/tests/tst_run_estimator.cpp
@@ -0,0 +1,3 @@
+#include "scheduling/run_estimator.h"
+
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/plugins/scheduling/tests/tst_target_health.cpp
@@ -0,0 +1,3 @@
+#include "scheduling/target_health.h"
+
+#include <catch2/catch.hpp>
