--- a/src/plugins/scheduling/target_health.cpp
+++ b/src/plugins/scheduling/target_health.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <optional>
@@ -22,7 +23,7 @@
 constexpr double max_run_probability = 0.05;
 constexpr double rate_half_life_s = 30.0;
 // While a target returns, two failures of different requests send it back; one could be a bad request.
-constexpr std::size_t probe_failures = 2;
+constexpr std::ptrdiff_t probe_failures = 2;
 constexpr unsigned successes_per_step = 2;
 constexpr double probe_weight = 0.1;
 constexpr std::array<double, 4> return_weights{probe_weight, 0.25, 0.5, 1.0};
@@ -107,8 +108,10 @@
 
 bool target_health::impl::is_evidence(const target_state& t, timestamp now) const
 {
-    if (t.step + 1 < return_weights.size())
-        return t.run.size() >= probe_failures;
+    if (t.step + 1 < return_weights.size()) {
+        const auto since_return = [&t](const failure& it) { return it.at >= t.ejected_until; };
+        return std::count_if(t.run.begin(), t.run.end(), since_return) >= probe_failures;
+    }
     std::set<team_id> teams;
     for (const failure& it : t.run)
         teams.insert(it.team);
@@ -164,8 +167,9 @@
         target_state& t = it->second;
         const auto removed = std::erase_if(t.run, [&](const failure& f) { return f.request == request; });
         t.failures = std::max(0.0, t.failures - static_cast<double>(removed));
+        // Only a first ejection is taken back: a later one follows failed probes as well.
         if (removed > 0 && ejected(t, now) && t.run.size() < settings_.min_failures && t.ejections == 1) {
-            t.ejected_until.reset();
+            t.ejected_until = now;
             t.ejections = 0;
             t.step = 0;
         }
@@ -193,9 +197,13 @@
         std::any_of(t.run.begin(), t.run.end(), [&](const failure& f) { return f.request == request; });
     // Failures beyond these add nothing to the decision; the bound keeps a target that cannot be ejected
     // because of the fraction from growing without limit.
-    const std::size_t most = 4 * std::max(settings_.min_failures, probe_failures);
+    const std::size_t most = 4 * std::max<std::size_t>(settings_.min_failures, 1);
+    const bool new_team =
+        std::none_of(t.run.begin(), t.run.end(), [&](const failure& f) { return f.team == team; });
     if (!known && t.run.size() < most)
         t.run.push_back({request, team, now});
+    else if (!known && new_team)
+        t.run.back() = {request, team, now};
     if (!ejected(t, now) && is_evidence(t, now) && surprising(target, t.run.size(), now) && may_eject(now))
         eject(t, now);
 }
