--- a/src/plugins/configuration/fleet_config.h
+++ b/src/plugins/configuration/fleet_config.h
@@ -14,13 +14,35 @@
 
 namespace mjm {
 
-/// A key of a team; only a salted hash is kept.
+/// A person or program that may read the configuration and propose changes to it.
+using operator_id = strong_string<struct operator_tag>;
+
+/// A key of a team, owner or operator; only a salted hash is kept.
 struct key_record {
     key_id id;
     std::string salt; ///< Hexadecimal.
     std::string hash; ///< Hexadecimal HMAC-SHA256 of the key with the salt.
 };
 
+/// One of the organisations that share the fleet.
+struct owner_record {
+    owner_id id;
+    std::vector<key_record> keys;
+};
+
+struct operator_record {
+    operator_id id;
+    std::vector<key_record> keys;
+};
+
+/// Relative weights of the measures by which plans are compared.
+struct measure_weights {
+    double buffer_cost = 1.0;
+    double rollout_time = 1.0;
+    double moves = 1.0;
+    double share_adherence = 1.0;
+};
+
 struct team_record {
     team_id id;
     owner_id owner;
@@ -55,9 +77,13 @@
 /// One numbered version of the configuration. Immutable once installed.
 struct fleet_config {
     std::uint64_t version = 0;
-    std::string authority_month; ///< "YYYY-MM": the month in force.
-    owner_id authority;          ///< Owner that accepts or rejects patches in that month.
-    std::string ticket_secret;   ///< Hexadecimal key of the tickets' HMAC.
+    std::string authority_month;              ///< "YYYY-MM": the month in force.
+    owner_id authority;                       ///< Owner that accepts or rejects patches in that month.
+    std::string ticket_secret;                ///< Hexadecimal key of the tickets' HMAC.
+    std::map<std::string, owner_id> calendar; ///< Owner that holds the authority, by month "YYYY-MM".
+    measure_weights weights;
+    std::map<owner_id, owner_record> owners;
+    std::map<operator_id, operator_record> operators;
     std::map<team_id, team_record> teams;
     std::map<service_id, service_record> services;
     std::map<pool_id, pool_record> pools;
@@ -65,6 +91,9 @@
 
     /// Team that a presented key belongs to; compares every candidate in constant time.
     [[nodiscard]] std::optional<team_id> authenticate(std::string_view presented_key) const;
+    /// Owner or operator that a presented key belongs to; compares every candidate in constant time.
+    [[nodiscard]] std::optional<owner_id> authenticate_owner(std::string_view presented_key) const;
+    [[nodiscard]] std::optional<operator_id> authenticate_operator(std::string_view presented_key) const;
     /// All (service, zone) pairs whose pool has a target in the zone.
     [[nodiscard]] std::set<shard_id> shards() const;
     [[nodiscard]] std::vector<target_record> targets_of(const shard_id& shard) const;
--- a/src/plugins/configuration/key_freshness.h
+++ b/src/plugins/configuration/key_freshness.h
@@ -50,6 +50,8 @@
     [[nodiscard]] key_policy policy(timestamp now) const;
 
 private:
+    [[nodiscard]] std::optional<timestamp> common_promise() const;
+
     struct promise {
         timestamp until;
         std::uint64_t version = 0;
@@ -60,6 +62,8 @@
     host_id self_;
     std::map<host_id, promise> promises_;
     std::optional<timestamp> confirmed_;
+    std::optional<timestamp>
+        promised_until_; ///< No unseen commit before this, by promises of all committers.
     std::uint64_t version_ = 0;
     bool self_unreachable_ = false;
 };
