--- a/src/plugins/permits/permit_agent.h
+++ b/src/plugins/permits/permit_agent.h
@@ -16,6 +16,14 @@
     double max_writes_per_s = 2.0; ///< Store writes of one shard.
     duration poll_interval{std::chrono::seconds{1}};
     duration idle_return_delay{std::chrono::seconds{5}}; ///< Surplus permits are kept this long.
+    double max_reads_per_s = 10.0;                       ///< Conditional store reads of one shard.
+};
+
+struct permit_agent_counters {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;    ///< Compare-and-swaps sent.
+    std::uint64_t conflicts = 0; ///< Among them, those that met a newer revision.
+    std::uint64_t bad_documents = 0;
 };
 
 /// Holds one shard's permits out of each team's upper limit. The store document `permits/<team>` records
@@ -33,7 +41,9 @@
 
     /// Upper limits (tasks running at once in the fleet) as of a configuration version.
     void set_limits(const std::map<team_id, std::int64_t>& limits, std::uint64_t config_version);
-    /// What the shard would use now (running and waiting) and what it is using.
+    /// What the shard would use now (running and waiting) and what it is using. `in_use` includes what may
+    /// still run on targets that this owner has not fenced. Permits of a team are given back only after the
+    /// first call for that team, since a new owner does not know before how many of them are in use.
     void set_demand(const team_id& team, std::int64_t wanted, std::int64_t in_use);
     void tick(timestamp now);
 
@@ -43,6 +53,9 @@
     void on_gain(std::function<void()> callback);
     /// Gives back all permits not in use, for a shard that is being closed.
     void release_all();
+    /// True once a higher epoch was seen for the shard; this agent then holds nothing any more.
+    [[nodiscard]] bool superseded() const;
+    [[nodiscard]] permit_agent_counters counters() const;
 
 private:
     class impl;
--- /dev/null
+++ b/src/plugins/permits/team_permits.cpp
@@ -0,0 +1,290 @@
+#include "permits/team_permits.h"
+
+#include "permits/permit_allocation.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace mjm {
+
+namespace {
+
+constexpr std::int64_t unlimited = std::numeric_limits<std::int64_t>::max();
+
+// Head room of a quarter: with less, a demand that rises steadily needs a write for nearly every start.
+constexpr std::int64_t head_room_divisor = 4;
+// A shard gives way only when it is this fraction above its part, so that needs that change a little do
+// not move permits to and fro.
+constexpr std::int64_t give_way_divisor = 8;
+// A recorded need is rewritten when it is off by more than this fraction.
+constexpr std::int64_t wanted_divisor = 4;
+// A waiter that leaves free permits untaken for this many polls has no owner and reserves nothing.
+constexpr int waiter_patience_polls = 10;
+
+} // namespace
+
+team_permits::team_permits(const shard_id& shard, shard_epoch epoch, const team_id& team,
+                           const permit_agent_settings& settings)
+    : shard_{shard}, epoch_{epoch}, team_{team}, settings_{settings}
+{
+}
+
+void team_permits::set_limit(std::int64_t limit, std::uint64_t config_version)
+{
+    if (config_version < config_version_)
+        return;
+    limit_ = std::max<std::int64_t>(0, limit);
+    config_version_ = config_version;
+    update_ceiling();
+}
+
+void team_permits::set_demand(std::int64_t wanted, std::int64_t in_use)
+{
+    const bool changed = !demand_known_ || wanted != wanted_;
+    wanted_ = std::max({wanted, in_use, std::int64_t{0}});
+    in_use_ = std::max<std::int64_t>(0, in_use);
+    demand_known_ = true;
+    if (changed)
+        update_ceiling();
+}
+
+void team_permits::confirm(const permit_document& document, store_revision revision, timestamp now)
+{
+    read_at_ = now;
+    if (exists_ && revision < revision_)
+        return;
+    if (in_doubt_ && revision > in_doubt_->base)
+        in_doubt_.reset();
+    document_ = document;
+    exists_ = true;
+    revision_ = revision;
+    const auto it = document_.grants.find(shard_);
+    superseded_ = superseded_ || (it != document_.grants.end() && it->second.epoch > epoch_);
+    watch_waiters(now);
+    update_ceiling();
+}
+
+void team_permits::confirm_unchanged(timestamp now)
+{
+    read_at_ = now;
+    watch_waiters(now);
+    update_ceiling();
+}
+
+void team_permits::confirm_absent(timestamp now)
+{
+    read_at_ = now;
+}
+
+std::int64_t team_permits::held() const
+{
+    const auto it = document_.grants.find(shard_);
+    if (superseded_ || it == document_.grants.end() || it->second.epoch != epoch_)
+        return 0;
+    std::int64_t usable = std::min(document_.usable_by(shard_), ceiling_);
+    if (in_doubt_)
+        usable = std::min(usable, in_doubt_->count);
+    return releasing_ ? std::min(usable, in_use_) : usable;
+}
+
+bool team_permits::concerned() const
+{
+    return wanted_ > 0 || in_use_ > 0 || in_doubt_ || document_.count_of(shard_) > 0 ||
+           document_.wanted.contains(shard_);
+}
+
+bool team_permits::pressing() const
+{
+    return in_doubt_ || limit_is_new() || (!releasing_ && wanted_ > held());
+}
+
+bool team_permits::limit_is_new() const
+{
+    return exists_ && config_version_ > document_.limit_version && limit_ != document_.limit;
+}
+
+std::int64_t team_permits::target() const
+{
+    if (releasing_)
+        return in_use_;
+    return wanted_ == 0 ? 0 : wanted_ + std::max<std::int64_t>(1, wanted_ / head_room_divisor);
+}
+
+bool team_permits::others_wait() const
+{
+    return !active_needs_.empty();
+}
+
+bool team_permits::shortage() const
+{
+    std::int64_t unmet = 0;
+    for (const auto& [shard, need] : active_needs_)
+        unmet += need - document_.count_of(shard);
+    return unmet > document_.free();
+}
+
+bool team_permits::others_starve() const
+{
+    return std::any_of(active_needs_.begin(), active_needs_.end(),
+                       [this](const auto& it) { return document_.count_of(it.first) == 0; });
+}
+
+std::int64_t team_permits::fair_part() const
+{
+    std::map<shard_id, std::int64_t> needs;
+    for (const auto& [shard, grant] : document_.grants)
+        needs[shard] = grant.count;
+    for (const auto& [shard, need] : active_needs_)
+        needs[shard] = need;
+    needs[shard_] = demand_known_ ? wanted_ : document_.count_of(shard_);
+
+    const auto needy =
+        std::count_if(needs.begin(), needs.end(), [](const auto& it) { return it.second > 0; });
+    if (needy > document_.limit) {
+        // Fewer permits than shards with work: the permits go round. A holder gives way to a shard without
+        // any, and those without any take what is free.
+        return others_starve() && document_.count_of(shard_) > 0 ? 0 : 1;
+    }
+    return divide_in_proportion(document_.limit, needs)[shard_];
+}
+
+void team_permits::watch_waiters(timestamp now)
+{
+    std::map<shard_id, waiter> seen;
+    active_needs_.clear();
+    for (const auto& [shard, need] : document_.wanted) {
+        const std::int64_t count = document_.count_of(shard);
+        if (shard == shard_ || need <= count)
+            continue;
+        const auto it = waiters_.find(shard);
+        const bool same = it != waiters_.end() && it->second.wanted == need && it->second.count == count;
+        const timestamp since = same && document_.free() > 0 ? it->second.since : now;
+        seen[shard] = {need, count, since};
+        if (now - since < settings_.poll_interval * waiter_patience_polls)
+            active_needs_[shard] = need;
+    }
+    waiters_ = std::move(seen);
+}
+
+void team_permits::update_ceiling()
+{
+    ceiling_ = unlimited;
+    if (limit_is_new() && limit_ < document_.limit) {
+        // A lowered limit blocks starts at once, before the document has been rewritten.
+        permit_document lowered = document_;
+        lowered.set_limit(limit_, config_version_);
+        ceiling_ = lowered.usable_by(shard_);
+    }
+    if (exists_ && demand_known_ && shortage()) {
+        const std::int64_t part = fair_part();
+        const std::int64_t tolerance = others_starve() ? 0 : part / give_way_divisor;
+        if (document_.count_of(shard_) > part + tolerance)
+            ceiling_ = std::min(ceiling_, part);
+    }
+}
+
+void team_permits::adjust_count(permit_document& next, timestamp now)
+{
+    const std::int64_t count = next.count_of(shard_);
+    const std::int64_t wish = target();
+
+    if (!releasing_ && wanted_ > count) {
+        surplus_since_.reset();
+        std::int64_t upper = wish;
+        if (others_wait())
+            upper = std::min(upper, fair_part());
+        const std::int64_t take = std::min(upper - count, next.free());
+        if (take > 0 && now >= take_not_before_ && !next.caps.contains(shard_))
+            next.set_count(shard_, count + take);
+        // A shard that waits may at the same time be above its part; it then gives way below.
+    }
+
+    if (next.count_of(shard_) != count || !demand_known_)
+        return;
+
+    std::int64_t keep = count;
+    const auto cap = next.caps.find(shard_);
+    if (cap != next.caps.end())
+        keep = std::min(keep, cap->second);
+    if (ceiling_ < keep)
+        keep = ceiling_;
+    if (releasing_) {
+        keep = in_use_;
+    } else if (shortage()) {
+        keep = std::min(keep, wanted_);
+    } else if (count > wish) {
+        if (!surplus_since_)
+            surplus_since_ = now;
+        if (now - *surplus_since_ >= settings_.idle_return_delay)
+            keep = std::min(keep, wish);
+    } else {
+        surplus_since_.reset();
+    }
+    keep = std::max(keep, in_use_);
+    if (keep < count) {
+        surplus_since_.reset();
+        next.set_count(shard_, keep);
+    }
+}
+
+void team_permits::adjust_wanted(permit_document& next) const
+{
+    const std::int64_t count = next.count_of(shard_);
+    const auto it = next.wanted.find(shard_);
+    if (releasing_ || wanted_ <= count) {
+        if (it != next.wanted.end())
+            next.wanted.erase(it);
+        return;
+    }
+    const std::int64_t recorded = it == next.wanted.end() ? 0 : it->second;
+    const std::int64_t off = recorded > wanted_ ? recorded - wanted_ : wanted_ - recorded;
+    if (recorded <= count || off > recorded / wanted_divisor)
+        next.wanted[shard_] = wanted_;
+}
+
+std::optional<permit_document> team_permits::plan(timestamp now)
+{
+    if (superseded_ || config_version_ == 0)
+        return std::nullopt;
+    if (!exists_) {
+        if (wanted_ == 0 || limit_ == 0 || releasing_)
+            return std::nullopt;
+        permit_document created;
+        created.set_limit(limit_, config_version_);
+        adjust_count(created, now);
+        created.grants[shard_].epoch = epoch_;
+        adjust_wanted(created);
+        return created;
+    }
+
+    permit_document next = document_;
+    if (limit_is_new())
+        next.set_limit(limit_, config_version_);
+    const auto it = next.grants.find(shard_);
+    const bool stamped = it != next.grants.end() && it->second.epoch == epoch_;
+    adjust_count(next, now);
+    if (demand_known_)
+        adjust_wanted(next);
+    const bool uses_grant = next.count_of(shard_) > 0 || next.wanted.contains(shard_);
+    if (stamped || uses_grant || it != next.grants.end())
+        next.grants[shard_].epoch = epoch_;
+    if (next == document_) {
+        // A return whose answer was lost may still take effect at this revision. Writing the document as it
+        // is moves the revision on, after which the permits can be used again.
+        if (in_doubt_ && !releasing_ && wanted_ > held())
+            return next;
+        return std::nullopt;
+    }
+    if (config_version_ > next.limit_version && limit_ == next.limit)
+        next.limit_version = config_version_;
+    return next;
+}
+
+void team_permits::begin_write(const permit_document& next)
+{
+    const std::int64_t before = in_doubt_ ? in_doubt_->count : unlimited;
+    if (next.count_of(shard_) < document_.count_of(shard_) || in_doubt_)
+        in_doubt_ = {revision_, std::min(before, next.count_of(shard_))};
+}
+
+} // namespace mjm
