Add the membership agent

Cause: each shard needs exactly one owner in its zone and an epoch that fences the former one. Change: own record under a store lease with a claimed incarnation, ownership documents written by compare-and-swap, bounded rendezvous division, take-over after a fresh read, planned hand-over and rebalancing one shard at a time.

--- a/src/plugins/membership/membership_agent.h
+++ b/src/plugins/membership/membership_agent.h
@@ -37,14 +37,22 @@
 };
 
 struct shard_owner_record {
-    host_id owner;
+    host_id owner; ///< Empty when the last owner gave the shard up without a successor.
     shard_epoch epoch = 0;
+    std::uint64_t incarnation = 0; ///< Of the owner.
+
+    friend bool operator==(const shard_owner_record&, const shard_owner_record&) = default;
 };
 
 struct membership_settings {
     duration lease_ttl{std::chrono::seconds{6}};
     duration renew_interval{std::chrono::seconds{2}};
     duration poll_interval{std::chrono::seconds{1}}; ///< Roster and ownership documents.
+    /// Least time between two moves that only even out the division: each costs a recovery.
+    duration rebalance_interval{std::chrono::seconds{10}};
+    /// After the first contact, a lapsed own lease or an outage, other members have this long to renew their
+    /// records before they count as absent.
+    duration settle_time{std::chrono::seconds{6}};
 };
 
 /// Keeps this host's record in the store alive, follows the roster and the ownership documents
@@ -78,6 +86,10 @@
 
     /// Confirms by a store read begun after this call that this host owns the shard at `epoch`.
     void confirm_epoch(const shard_id& shard, shard_epoch epoch, std::function<void(bool confirmed)> done);
+    /// True when a newer incarnation of this host's name was seen: this agent owns nothing any more.
+    [[nodiscard]] bool superseded() const;
+    /// Incarnation of this process; 0 until the store has confirmed it.
+    [[nodiscard]] std::uint64_t incarnation() const;
     /// Time of the last successful store call; nothing before the first.
     [[nodiscard]] std::optional<timestamp> last_store_contact() const;
 
--- /dev/null
+++ b/src/plugins/membership/own_record.cpp
@@ -0,0 +1,234 @@
+#include "membership/own_record.h"
+
+#include "membership/member_records.h"
+
+#include <algorithm>
+
+namespace mjm {
+
+namespace {
+
+// Between two attempts after a failed call; short against the lease, so that one lost answer costs no lapse.
+constexpr std::chrono::milliseconds retry_base{100};
+constexpr std::uint64_t retry_jitter_us = 200'000;
+
+/// True when the store itself answered, even if it refused the call.
+bool is_answer(store_errc ec)
+{
+    return ec == store_errc::conflict || ec == store_errc::not_found || ec == store_errc::too_large;
+}
+
+} // namespace
+
+own_record::own_record(const member& self, kv_store& store, random_source& random,
+                       const membership_settings& settings)
+    : self_{self}, store_{store}, random_{random}, settings_{settings}
+{
+}
+
+void own_record::set_config_version(std::uint64_t version)
+{
+    if (version <= self_.config_version)
+        return;
+    self_.config_version = version;
+    written_ = false;
+}
+
+void own_record::set_leaving()
+{
+    if (self_.state == member_state::leaving)
+        return;
+    self_.state = member_state::leaving;
+    written_ = false;
+}
+
+void own_record::note_incarnation(std::uint64_t seen)
+{
+    if (claimed_ && seen > self_.incarnation)
+        superseded_ = true;
+}
+
+void own_record::tick(timestamp now)
+{
+    now_ = now;
+    if (in_flight_ || superseded_ || removed_ || now < next_try_)
+        return;
+    if (removing_ && (!claimed_ || lease_ == 0)) {
+        removed_ = true; // Nothing of this process is in the store, or it has lapsed.
+        return;
+    }
+    begun_ = now;
+    in_flight_ = true;
+    if (!claimed_ || !counter_checked_)
+        read_counter();
+    else if (lease_ == 0)
+        request_lease();
+    else if (!revision_known_)
+        read_record();
+    else if (removing_)
+        erase_record();
+    else if (now >= next_renewal_)
+        renew_lease();
+    else if (!written_)
+        write_record();
+    else
+        in_flight_ = false;
+}
+
+void own_record::end_call(bool answered)
+{
+    in_flight_ = false;
+    if (answered) {
+        if (on_contact_)
+            on_contact_(begun_);
+        return;
+    }
+    next_try_ = now_ + retry_base + duration{static_cast<duration::rep>(random_.below(retry_jitter_us))};
+}
+
+void own_record::read_counter()
+{
+    store_.get(incarnation_key(self_.endpoint.id), 0,
+               [weak = weak_from_this()](const tl::expected<kv_read, store_errc>& result) {
+                   const std::shared_ptr<own_record> self = weak.lock();
+                   if (!self)
+                       return;
+                   const bool absent = !result && result.error() == store_errc::not_found;
+                   if (!result && !absent) {
+                       self->end_call(false);
+                       return;
+                   }
+                   const std::uint64_t last =
+                       absent ? 0 : incarnation_from_json(result->entry.value).value_or(0);
+                   self->end_call(true);
+                   if (self->claimed_) {
+                       self->note_incarnation(last);
+                       self->counter_checked_ = true;
+                       return;
+                   }
+                   self->in_flight_ = true;
+                   self->write_counter(std::max(last + 1, self->self_.incarnation),
+                                       absent ? 0 : result->entry.revision);
+               });
+}
+
+void own_record::write_counter(std::uint64_t next, store_revision expected)
+{
+    // After a lost answer the counter is read again and the following number is claimed: numbers may be
+    // left out, but none is used twice.
+    store_.put(kv_write{.key = incarnation_key(self_.endpoint.id),
+                        .value = incarnation_to_json(next),
+                        .expected = expected},
+               [weak = weak_from_this(), next](const tl::expected<store_revision, store_errc>& result) {
+                   const std::shared_ptr<own_record> self = weak.lock();
+                   if (!self)
+                       return;
+                   self->end_call(result || is_answer(result.error()));
+                   if (!result)
+                       return;
+                   self->self_.incarnation = next;
+                   self->claimed_ = true;
+                   self->counter_checked_ = true;
+               });
+}
+
+void own_record::request_lease()
+{
+    store_.grant_lease(settings_.lease_ttl,
+                       [weak = weak_from_this()](const tl::expected<store_lease_id, store_errc>& result) {
+                           const std::shared_ptr<own_record> self = weak.lock();
+                           if (!self)
+                               return;
+                           self->end_call(result || is_answer(result.error()));
+                           if (!result)
+                               return;
+                           self->lease_ = *result;
+                           self->next_renewal_ = self->begun_ + self->settings_.renew_interval;
+                           self->revision_known_ = false;
+                           self->written_ = false;
+                       });
+}
+
+void own_record::renew_lease()
+{
+    store_.keep_alive(lease_, [weak = weak_from_this()](const tl::expected<void, store_errc>& result) {
+        const std::shared_ptr<own_record> self = weak.lock();
+        if (!self)
+            return;
+        self->end_call(result || is_answer(result.error()));
+        if (result) {
+            self->next_renewal_ = self->begun_ + self->settings_.renew_interval;
+        } else if (result.error() == store_errc::not_found) {
+            self->lease_ = 0;
+            self->registered_ = false;
+            self->counter_checked_ = false;
+            if (self->on_lapse_)
+                self->on_lapse_();
+        }
+    });
+}
+
+void own_record::read_record()
+{
+    store_.get(member_key(self_.endpoint.id), 0,
+               [weak = weak_from_this()](const tl::expected<kv_read, store_errc>& result) {
+                   const std::shared_ptr<own_record> self = weak.lock();
+                   if (!self)
+                       return;
+                   const bool absent = !result && result.error() == store_errc::not_found;
+                   self->end_call(result || absent);
+                   if (!result && !absent)
+                       return;
+                   self->revision_known_ = true;
+                   self->revision_ = absent ? 0 : result->entry.revision;
+                   if (absent) {
+                       self->removed_ = self->removing_;
+                       return;
+                   }
+                   if (const std::optional<member> found = member_from_json(result->entry.value))
+                       self->note_incarnation(found->incarnation);
+               });
+}
+
+void own_record::write_record()
+{
+    const member sent = self_;
+    store_.put(kv_write{.key = member_key(self_.endpoint.id),
+                        .value = member_to_json(sent),
+                        .expected = revision_,
+                        .lease = lease_},
+               [weak = weak_from_this(), sent](const tl::expected<store_revision, store_errc>& result) {
+                   const std::shared_ptr<own_record> self = weak.lock();
+                   if (!self)
+                       return;
+                   self->end_call(result || is_answer(result.error()));
+                   if (!result) {
+                       // A lease that lapsed in the meantime is found by the next renewal.
+                       self->revision_known_ = false;
+                       if (result.error() == store_errc::not_found)
+                           self->next_renewal_ = self->now_;
+                       return;
+                   }
+                   self->revision_ = *result;
+                   self->registered_ = true;
+                   self->written_ =
+                       sent.state == self->self_.state && sent.config_version == self->self_.config_version;
+               });
+}
+
+void own_record::erase_record()
+{
+    store_.erase(member_key(self_.endpoint.id), revision_,
+                 [weak = weak_from_this()](const tl::expected<void, store_errc>& result) {
+                     const std::shared_ptr<own_record> self = weak.lock();
+                     if (!self)
+                         return;
+                     self->end_call(result || is_answer(result.error()));
+                     if (result || result.error() == store_errc::not_found)
+                         self->removed_ = true;
+                     else
+                         self->revision_known_ = false;
+                 });
+}
+
+} // namespace mjm
--- a/src/plugins/permits/permit_agent.cpp
+++ b/src/plugins/permits/permit_agent.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-// A team in which nothing waits is read less often, so that reads grow with activity and not with the
-// number of teams.
-constexpr int quiet_poll_factor = 4;
+// A team in which nothing waits here is read less often. With a factor of 2 a holder of idle permits learns
+// of a waiting shard early enough for urgent work to start within 4.2 s.
+constexpr int quiet_poll_factor = 2;
+// Bounds the wait after conflicts in a row to 4 poll intervals.
+constexpr unsigned max_conflict_doublings = 5;
 
 } // namespace
 
@@ -29,6 +31,7 @@
     void tick(timestamp now);
     [[nodiscard]] std::int64_t held(const team_id& team) const;
     void on_gain(std::function<void()> callback) { on_gain_ = std::move(callback); }
+    [[nodiscard]] std::int64_t document_limit(const team_id& team) const;
     void release_all();
     [[nodiscard]] bool superseded() const { return superseded_; }
     [[nodiscard]] const permit_agent_counters& counters() const { return counters_; }
@@ -126,6 +129,12 @@
     return superseded_ || it == slots_.end() ? 0 : it->second.state.held();
 }
 
+std::int64_t permit_agent::impl::document_limit(const team_id& team) const
+{
+    const auto it = slots_.find(team);
+    return it == slots_.end() ? 0 : it->second.state.document_limit();
+}
+
 void permit_agent::impl::release_all()
 {
     releasing_ = true;
@@ -265,9 +274,8 @@
     it.read_first = true;
     if (result.error() == store_errc::conflict) {
         ++counters_.conflicts;
-        // The window doubles with each conflict in a row, up to 16 polls, so that many writers of one
-        // document spread out.
-        it.conflicts = std::min(it.conflicts + 1, 7U);
+        // The window doubles with each conflict in a row, so that many writers of one document spread out.
+        it.conflicts = std::min(it.conflicts + 1, max_conflict_doublings);
         const duration wait = jitter(settings_.poll_interval / 8 * (1U << it.conflicts));
         it.next_read = now_ + wait;
         it.next_write = it.next_read;
@@ -324,6 +332,11 @@
     impl_->release_all();
 }
 
+std::int64_t permit_agent::document_limit(const team_id& team) const
+{
+    return impl_->document_limit(team);
+}
+
 bool permit_agent::superseded() const
 {
     return impl_->superseded();
--- a/src/plugins/permits/team_permits.h
+++ b/src/plugins/permits/team_permits.h
@@ -32,6 +32,7 @@
     [[nodiscard]] std::int64_t held() const;
     /// Permits granted to the shard in the last confirmed document.
     [[nodiscard]] std::int64_t count() const { return document_.count_of(shard_); }
+    [[nodiscard]] std::int64_t document_limit() const { return document_.limit; }
     [[nodiscard]] store_revision revision() const { return revision_; }
     [[nodiscard]] std::optional<timestamp> read_at() const { return read_at_; }
     /// False when nothing about this team can concern the shard now.
