--- a/src/libs/core/bounded_ring.h
+++ b/src/libs/core/bounded_ring.h
@@ -30,12 +30,13 @@
         return true;
     }
 
-    /// Waits up to `timeout` for an item.
+    /// Waits up to `timeout` for an item, or until `wake` is called.
     template <typename Duration>
     [[nodiscard]] std::optional<T> pop_for(Duration timeout)
     {
         std::unique_lock lock{mutex_};
-        ready_.wait_for(lock, timeout, [this] { return closed_ || !items_.empty(); });
+        ready_.wait_for(lock, timeout, [this] { return closed_ || woken_ || !items_.empty(); });
+        woken_ = false;
         if (items_.empty())
             return std::nullopt;
         std::optional<T> item{std::move(items_.front())};
@@ -53,6 +54,17 @@
         return item;
     }
 
+    /// Makes the current or the next `pop_for` return without waiting, so that a consumer can look at
+    /// something else too.
+    void wake()
+    {
+        {
+            const std::lock_guard lock{mutex_};
+            woken_ = true;
+        }
+        ready_.notify_one();
+    }
+
     /// Rejects further items and wakes the consumer; items already queued can still be popped.
     void close()
     {
@@ -81,6 +93,7 @@
     std::deque<T> items_;
     std::size_t rejected_ = 0;
     bool closed_ = false;
+    bool woken_ = false;
 };
 
 } // namespace mjm
--- a/src/libs/core/tests/tst_core.cpp
+++ b/src/libs/core/tests/tst_core.cpp
@@ -82,3 +82,11 @@
     CHECK(reported == 1);
     CHECK(invariant_violations(invariant::one_pool) == before + 1);
 }
+
+TEST_CASE("a wake that comes before the wait is not lost")
+{
+    // A consumer that missed it would wait the whole hour.
+    bounded_ring<int> ring{1};
+    ring.wake();
+    CHECK(ring.pop_for(std::chrono::hours{1}) == std::nullopt);
+}
--- /dev/null
+++ b/src/libs/kernel/ring_executor.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/bounded_ring.h"
+#include "core/executor.h"
+#include "core/time_types.h"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+
+namespace mjm {
+
+/// Executor with one queue for new requests, which is bounded and refuses when full, and one for replies to
+/// calls that the component made itself, which never refuses: its size is bounded by the calls outstanding.
+/// Replies run first. Posting is thread-safe; one thread consumes.
+class ring_executor final : public executor {
+public:
+    using work = std::function<void()>;
+
+    explicit ring_executor(std::size_t request_capacity) : requests_{request_capacity} {}
+
+    /// Queues a reply. Never refused; after `close` it stays queued and runs only if the consumer drains.
+    void post(work reply) override;
+    /// Queues a new request. Returns false, and leaves `request` untouched, when the ring is full or closed.
+    [[nodiscard]] bool try_post(work& request);
+
+    /// Waits up to `timeout` for work, then runs all replies queued by then and at most one request, so that
+    /// neither queue starves the other. Returns the number of items run.
+    std::size_t run_for(duration timeout);
+    /// Runs until both queues are empty.
+    std::size_t run_pending();
+    /// Refuses further requests and makes the consumer return from `run_for`.
+    void close();
+
+    [[nodiscard]] std::size_t waiting_requests() const { return requests_.size(); }
+    [[nodiscard]] std::size_t refused_requests() const { return requests_.rejected(); }
+    [[nodiscard]] std::size_t waiting_replies() const;
+
+private:
+    std::size_t run_replies();
+
+    bounded_ring<work> requests_;
+    mutable std::mutex replies_mutex_;
+    std::deque<work> replies_;
+};
+
+} // namespace mjm
