Test the entry node with fakes in virtual time

Cause: the composed request path had no test. Change: a fixture with entry hosts, targets, peers and the platform in one thread, and cases for kills, pauses, drain, retries and a store outage; a task that its target stopped is no longer fetched for ever.

--- /dev/null
+++ b/src/plugins/entry/tests/tst_entry_node.cpp
@@ -0,0 +1,196 @@
+#include "fleet_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mjm;
+using namespace std::chrono_literals;
+
+namespace {
+
+const shard_id lens_z1{service_id{"lens"}, zone_id{"z1"}};
+
+shard_id shard_of_ticket(fleet_fixture& fleet, const std::string& text)
+{
+    return ticket_codec{fleet.config.ticket_secret}.decode(text)->shard;
+}
+
+} // namespace
+
+TEST_CASE("a request submitted anywhere is run once and its whole answer comes back")
+{
+    fleet_fixture fleet;
+    fleet.run(5s);
+    std::vector<std::shared_ptr<submission>> all;
+    for (const std::string& host : fleet.hosts()) {
+        all.push_back(fleet.submit(host, fleet_fixture::call("t1", true)));
+        all.push_back(fleet.submit(host, fleet_fixture::call("t2", false, fleet.ticket(host, "t2"))));
+        all.push_back(fleet.submit(host, fleet_fixture::call("", true)));
+    }
+    fleet.run(10s);
+    for (const std::shared_ptr<submission>& it : all) {
+        REQUIRE(it->answered());
+        CHECK(it->kind() == outcome_kind::completed);
+        CHECK(it->answers.at(0).result.body == "done " + it->id.str());
+        CHECK(fleet.runs_of(it->id) == 1);
+    }
+    CHECK(fleet.violations.empty());
+}
+
+TEST_CASE("keys, tickets and services that do not match are refused with their own reason")
+{
+    fleet_fixture fleet;
+    fleet.run(5s);
+    const auto why = [&](const caller_request& call) {
+        const std::shared_ptr<submission> it = fleet.submit("z1h1", call);
+        fleet.run(1s);
+        REQUIRE(it->answered());
+        CHECK(it->kind() == outcome_kind::refused_not_run);
+        return it->why();
+    };
+    caller_request call = fleet_fixture::call("t1", true);
+    call.key.clear();
+    CHECK(why(call) == reason::key_missing);
+    call.key = "key-t3";
+    CHECK(why(call) == reason::key_invalid);
+    call = fleet_fixture::call("t1", true);
+    call.service = service_id{"nothing"};
+    CHECK(why(call) == reason::unknown_service);
+    CHECK(why(fleet_fixture::call("t1", false)) == reason::ticket_required);
+    CHECK(why(fleet_fixture::call("t1", false, "t1~forged")) == reason::ticket_invalid);
+    CHECK(why(fleet_fixture::call("t1", false, fleet.ticket("z1h1", "t2"))) == reason::ticket_invalid);
+    call = fleet_fixture::call("t1", true);
+    call.declared.accelerators = 1;
+    CHECK(why(call) == reason::never_runnable);
+}
+
+TEST_CASE("one ticket submitted through every entry host at once runs once and tells all the same")
+{
+    fleet_fixture fleet;
+    fleet.run(5s);
+    const std::string ticket = fleet.ticket("z1h1", "t1");
+    std::vector<std::shared_ptr<submission>> all;
+    for (const std::string& host : fleet.hosts())
+        all.push_back(fleet.submit(host, fleet_fixture::call("t1", false, ticket)));
+    fleet.run(5s);
+    for (const std::shared_ptr<submission>& it : all) {
+        REQUIRE(it->answered());
+        CHECK(it->kind() == outcome_kind::completed);
+        CHECK(it->id == all.front()->id);
+    }
+    CHECK(fleet.runs_of(all.front()->id) == 1);
+}
+
+TEST_CASE("the death of a shard's owner cuts no running task: the next owner adopts it")
+{
+    fleet_fixture fleet;
+    fleet.set_run_time(20s);
+    fleet.run(5s);
+    const std::string ticket = fleet.ticket("z1h1", "t1");
+    const shard_id shard = shard_of_ticket(fleet, ticket);
+    const std::string owner = fleet.owner_of(shard);
+    const std::string front = owner == "z2h1" ? "z2h2" : "z2h1";
+    const std::shared_ptr<submission> it = fleet.submit(front, fleet_fixture::call("t1", false, ticket));
+    fleet.run(1s);
+    REQUIRE(fleet.running_of("t1") == 1);
+    fleet.kill(owner);
+    fleet.run(40s);
+    REQUIRE(it->answered());
+    CHECK(it->kind() == outcome_kind::completed);
+    CHECK(fleet.runs_of(it->id) == 1);
+    CHECK(fleet.violations.empty());
+}
+
+TEST_CASE("a retry with the same ticket after owner and front died gets the one outcome")
+{
+    fleet_fixture fleet;
+    fleet.set_run_time(3s);
+    fleet.run(5s);
+    const std::string ticket = fleet.ticket("z1h1", "t1");
+    const std::string owner = fleet.owner_of(shard_of_ticket(fleet, ticket));
+    fleet.submit(owner, fleet_fixture::call("t1", false, ticket));
+    fleet.run(1s);
+    fleet.kill(owner);
+    fleet.run(15s);
+    const std::string other = owner == "z3h1" ? "z3h2" : "z3h1";
+    const std::shared_ptr<submission> retry = fleet.submit(other, fleet_fixture::call("t1", false, ticket));
+    fleet.run(10s);
+    REQUIRE(retry->answered());
+    CHECK(retry->kind() == outcome_kind::completed);
+    CHECK(fleet.runs_of(retry->id) == 1);
+}
+
+TEST_CASE("a paused owner that wakes up after its successor took over starts nothing")
+{
+    fleet_fixture fleet;
+    fleet.run(5s);
+    const std::string owner = fleet.owner_of(lens_z1);
+    const std::string successor = owner == "z1h1" ? "z1h2" : "z1h1";
+    fleet.pause(owner, true);
+    fleet.run(15s);
+    REQUIRE(fleet.owner_of(lens_z1) == successor);
+    // The old owner still believes that it owns the shard: it gets the request before its next tick.
+    request work;
+    work.id = make_request_id(lens_z1, team_id{"t1"}, "late");
+    work.team = team_id{"t1"};
+    work.service = service_id{"lens"};
+    work.idempotent = true;
+    work.timeout = 30s;
+    std::vector<outcome> outcomes;
+    fleet.node(owner).on_forward({lens_z1, 1, forward_mode::submit, work},
+                                 [&](const outcome& it) { outcomes.push_back(it); });
+    fleet.run(1s);
+    CHECK(fleet.runs_of(work.id) == 0);
+    fleet.pause(owner, false);
+    fleet.run(5s);
+    CHECK(fleet.runs_of(work.id) == 0);
+    CHECK(fleet.violations.empty());
+}
+
+TEST_CASE("draining an entry host hands its shards over and cuts no request")
+{
+    fleet_fixture fleet;
+    fleet.set_run_time(4s);
+    fleet.run(5s);
+    const std::string owner = fleet.owner_of(lens_z1);
+    std::vector<std::shared_ptr<submission>> all;
+    for (int i = 0; i < 40; ++i)
+        all.push_back(fleet.submit(owner, fleet_fixture::call("t1", true)));
+    for (int i = 0; i < 10; ++i)
+        all.push_back(fleet.submit(owner, fleet_fixture::call("t2", false, fleet.ticket(owner, "t2"))));
+    fleet.run(1s);
+    fleet.node(owner).drain();
+    CHECK(fleet.run_until([&] { return fleet.node(owner).drained(); }, 60s));
+    for (const std::shared_ptr<submission>& it : all) {
+        REQUIRE(it->answered());
+        CHECK(it->kind() == outcome_kind::completed);
+    }
+    CHECK(fleet.violations.empty());
+}
+
+TEST_CASE("work goes on through a store outage and the team limit holds")
+{
+    fleet_fixture fleet{{.team_limit = 10}};
+    fleet.set_run_time(2s);
+    fleet.run(5s);
+    std::vector<std::shared_ptr<submission>> warm;
+    for (const std::string& host : fleet.hosts()) {
+        for (int i = 0; i < 5; ++i)
+            warm.push_back(fleet.submit(host, fleet_fixture::call("t1", true)));
+    }
+    fleet.run(5s);
+    fleet.store.set_unreachable(true);
+    std::vector<std::shared_ptr<submission>> all;
+    for (const std::string& host : fleet.hosts()) {
+        for (int i = 0; i < 5; ++i)
+            all.push_back(fleet.submit(host, fleet_fixture::call("t1", true)));
+    }
+    fleet.run(40s);
+    std::size_t completed = 0;
+    for (const std::shared_ptr<submission>& it : all) {
+        REQUIRE(it->answered());
+        completed += it->kind() == outcome_kind::completed ? 1U : 0U;
+    }
+    CHECK(completed == all.size());
+    CHECK(fleet.highest_running_of("t1") <= 10);
+    CHECK(fleet.violations.empty());
+}
--- a/src/plugins/shard/task_attempt.cpp
+++ b/src/plugins/shard/task_attempt.cpp
@@ -5,6 +5,9 @@
 namespace {
 
 constexpr duration fetch_retry_delay{std::chrono::milliseconds{500}};
+/// A single bad answer may have been damaged on its way; a second one means that the target has no result,
+/// as after it stopped the task.
+constexpr unsigned max_bad_answers = 2;
 
 } // namespace
 
@@ -57,7 +60,9 @@
     mark_lost();
     if (ended_)
         return;
-    if (result.error() == target_errc::unknown_task)
+    if (result.error() == target_errc::bad_response)
+        ++bad_answers_;
+    if (result.error() == target_errc::unknown_task || bad_answers_ >= max_bad_answers)
         settle_unknown_task();
     else
         retry_fetch_later();
--- a/src/plugins/shard/task_attempt.h
+++ b/src/plugins/shard/task_attempt.h
@@ -60,6 +60,7 @@
 
     timestamp started_at_;
     timestamp next_fetch_;
+    unsigned bad_answers_ = 0;
     bool waiting_to_fetch_ = false;
     bool ended_ = false;
     bool lost_ = false;
