Add the HTTP server and client

Cause: the entry program and the stand-ins need HTTP with typed failures. Change: io_runtime, http_server and http_client on Beast behind pimpl. The client tells apart: nothing sent, lost after sending, timed out, incomplete response. A response without a length is incomplete.

--- /dev/null
+++ b/src/libs/net/io_runtime.cpp
@@ -0,0 +1,44 @@
+#include "net/io_runtime.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <optional>
+#include <thread>
+
+namespace mjm {
+
+class io_runtime::impl {
+public:
+    boost::asio::io_context context_{1};
+    std::optional<boost::asio::executor_work_guard<boost::asio::io_context::executor_type>> work_{
+        context_.get_executor()};
+    std::thread thread_;
+};
+
+io_runtime::io_runtime() : impl_{std::make_unique<impl>()} {}
+
+io_runtime::~io_runtime()
+{
+    stop();
+}
+
+void io_runtime::start()
+{
+    if (!impl_->thread_.joinable())
+        impl_->thread_ = std::thread{[this] { impl_->context_.run(); }};
+}
+
+void io_runtime::stop()
+{
+    impl_->context_.stop();
+    if (impl_->thread_.joinable())
+        impl_->thread_.join();
+}
+
+boost::asio::io_context& io_runtime::context()
+{
+    return impl_->context_;
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/libs/net/tests/tst_http_client.cpp
@@ -0,0 +1,189 @@
+#include "loopback.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace mjm;
+using boost::asio::buffer;
+using boost::asio::ip::tcp;
+
+namespace {
+
+http_request get_request()
+{
+    http_request request;
+    request.method = "GET";
+    request.path = "/";
+    return request;
+}
+
+http_client_settings patient()
+{
+    http_client_settings s;
+    s.connect_timeout = never;
+    s.idle_timeout = never;
+    return s;
+}
+
+struct client_fixture {
+    client_fixture() { runtime.start(); }
+
+    io_runtime runtime;
+    http_client client{runtime, patient()};
+    raw_server server;
+};
+
+const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE("guards against a connection failure that claims that something was sent")
+{
+    client_fixture f;
+    std::uint16_t closed_port = 0;
+    {
+        const raw_server gone;
+        closed_port = gone.port();
+    }
+    CHECK(send_async(f.client, closed_port, get_request()).get().error() == http_errc::not_connected);
+}
+
+TEST_CASE("guards against a lost connection that claims that nothing was sent")
+{
+    client_fixture f;
+    auto reply = send_async(f.client, f.server.port(), get_request());
+    tcp::socket socket = f.server.accept();
+    raw_server::read_head(socket);
+    socket.close();
+    CHECK(reply.get().error() == http_errc::connection_lost);
+}
+
+TEST_CASE("guards against an incomplete or malformed response passed on as whole")
+{
+    client_fixture f;
+    const std::string answer =
+        GENERATE(as<std::string>{}, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel", "HTTP/1.1 200",
+                 "garbage\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nno length");
+    CAPTURE(answer);
+    auto reply = send_async(f.client, f.server.port(), get_request());
+    tcp::socket socket = f.server.accept();
+    raw_server::read_head(socket);
+    boost::asio::write(socket, buffer(answer));
+    socket.close();
+    CHECK(reply.get().error() == http_errc::bad_response);
+}
+
+TEST_CASE("guards against a time-out after sending reported as if nothing had been sent")
+{
+    client_fixture f;
+    auto first = send_async(f.client, f.server.port(), get_request());
+    tcp::socket socket = f.server.accept();
+    raw_server::read_head(socket);
+    boost::asio::write(socket, buffer(ok));
+    REQUIRE(first.get());
+    // On the open connection the request is written at once, however short the time limit is.
+    auto second = send_async(f.client, f.server.port(), get_request(), std::chrono::microseconds{1});
+    CHECK(second.get().error() == http_errc::timed_out);
+}
+
+TEST_CASE("guards against a new connection for each request, and against use of one closed while idle")
+{
+    client_fixture f;
+    auto first = send_async(f.client, f.server.port(), get_request());
+    tcp::socket socket = f.server.accept();
+    raw_server::read_head(socket);
+    boost::asio::write(socket, buffer(ok));
+    CHECK(first.get()->body == "ok");
+    auto second = send_async(f.client, f.server.port(), get_request());
+    raw_server::read_head(socket); // the same connection
+    boost::asio::write(socket, buffer(ok));
+    CHECK(second.get()->body == "ok");
+    socket.close();
+    auto third = send_async(f.client, f.server.port(), get_request());
+    tcp::socket next = f.server.accept();
+    raw_server::read_head(next);
+    boost::asio::write(next, buffer("HTTP/1.1 100 Continue\r\n\r\n" + ok));
+    CHECK(third.get()->body == "ok");
+}
+
+TEST_CASE("guards against more connections to one address than allowed")
+{
+    io_runtime runtime;
+    runtime.start();
+    http_client_settings settings = patient();
+    settings.max_connections_per_endpoint = 1;
+    http_client client{runtime, settings};
+    raw_server server;
+    auto first = send_async(client, server.port(), get_request());
+    CHECK(send_async(client, server.port(), get_request()).get().error() == http_errc::too_many);
+    tcp::socket socket = server.accept();
+    raw_server::read_head(socket);
+    boost::asio::write(socket, buffer(ok));
+    CHECK(first.get().has_value());
+}
+
+TEST_CASE("guards against a response over the limit being buffered")
+{
+    io_runtime runtime;
+    runtime.start();
+    http_client_settings settings = patient();
+    settings.max_response = 4;
+    http_client client{runtime, settings};
+    raw_server server;
+    auto reply = send_async(client, server.port(), get_request());
+    tcp::socket socket = server.accept();
+    raw_server::read_head(socket);
+    boost::asio::write(socket, buffer(std::string{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"}));
+    CHECK(reply.get().error() == http_errc::bad_response);
+}
+
+TEST_CASE("guards against a callback that is lost when the client is destroyed")
+{
+    io_runtime runtime;
+    runtime.start();
+    raw_server server;
+    std::optional<http_client> client;
+    client.emplace(runtime, patient());
+    auto reply = send_async(*client, server.port(), get_request());
+    tcp::socket socket = server.accept();
+    raw_server::read_head(socket);
+    client.reset();
+    CHECK(reply.get().error() == http_errc::connection_lost);
+}
+
+TEST_CASE("guards against answers that cross between concurrent calls")
+{
+    io_runtime runtime;
+    http_server_settings server_settings;
+    server_settings.header_timeout = never;
+    server_settings.idle_timeout = never;
+    http_server server{runtime, server_settings, [](const http_request& request, const auto& respond) {
+                           http_response response;
+                           response.body = request.query.at("n") + request.body;
+                           respond(response);
+                       }};
+    const std::uint16_t port = server.listen().value();
+    http_client client{runtime, patient()};
+    runtime.start();
+    const std::string big(300'000, 'x');
+    std::vector<std::future<tl::expected<http_response, http_errc>>> replies;
+    for (int round = 0; round < 20; ++round) {
+        replies.clear();
+        for (int i = 0; i < 30; ++i) {
+            http_request request = get_request();
+            request.method = "POST";
+            request.query["n"] = std::to_string(i);
+            request.body = i == 7 ? big : "b";
+            replies.push_back(send_async(client, port, request));
+        }
+        for (int i = 0; i < 30; ++i) {
+            const tl::expected<http_response, http_errc> r = replies[static_cast<std::size_t>(i)].get();
+            REQUIRE(r);
+            CHECK(r->body == std::to_string(i) + (i == 7 ? big : "b"));
+        }
+    }
+    CHECK(server.open_connections() <= 30);
+}
