--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <map>
 #include <optional>
 #include <set>
@@ -37,6 +38,14 @@
     return text.find_first_of("\r\n") != std::string_view::npos;
 }
 
+std::string lower(std::string_view text)
+{
+    std::string out{text};
+    std::transform(out.begin(), out.end(), out.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return out;
+}
+
 std::string format_head(const http_endpoint& endpoint, const http_request& request)
 {
     std::string out = request.method + " " + format_url_target(request.path, request.query) +
@@ -44,7 +53,7 @@
                       "\r\ncontent-length: " + std::to_string(request.body.size()) + "\r\n";
     for (const auto& [name, value] : request.headers) {
         if (!has_line_break(name) && !has_line_break(value))
-            out += name + ": " + value + "\r\n";
+            out.append(name).append(": ").append(value).append("\r\n");
     }
     return out + "\r\n";
 }
@@ -277,7 +286,7 @@
             if (field.name() == http::field::content_type)
                 response.content_type = value;
             else
-                response.headers.emplace_back(std::string{field.name_string()}, value);
+                response.headers.emplace_back(lower(field.name_string()), value);
         }
         response.body = std::move(message.body());
         complete(std::move(response), keep);
--- a/src/libs/net/http_message.h
+++ b/src/libs/net/http_message.h
@@ -24,8 +24,8 @@
 };
 
 struct http_response {
-    int status = 200;
-    std::vector<std::pair<std::string, std::string>> headers;
+    int status = 200; ///< 0 makes the server close the connection without an answer.
+    std::vector<std::pair<std::string, std::string>> headers; ///< Received names are in lower case.
     std::string body;
     std::string content_type = "application/json";
 };
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -108,7 +108,7 @@
     void accept();
     void close_all();
     /// Runs the handler unless the server was stopped.
-    void dispatch(http_request request, responder respond);
+    void dispatch(http_request request, const responder& respond);
     /// Posts to the I/O thread unless the server was stopped.
     template <typename Work>
     void post_unless_stopped(Work work)
@@ -375,7 +375,7 @@
         }
         for (const auto& [name, value] : r.headers) {
             if (!has_line_break(name) && !has_line_break(value))
-                out += name + ": " + value + "\r\n";
+                out.append(name).append(": ").append(value).append("\r\n");
         }
         if (slot.close)
             out += "connection: close\r\n";
@@ -392,6 +392,10 @@
             return;
         writing_ = true;
         const std::shared_ptr<answer_slot> slot = slots_.front();
+        if (!slot->interim && slot->response.status == 0) {
+            close();
+            return;
+        }
         if (!slot->interim) {
             // Answers to requests that were accepted before must still be sent, so only the last one closes.
             if (server_->draining_ && slots_.size() == 1 && !slot->close) {
@@ -532,7 +536,7 @@
         s->close();
 }
 
-void http_server::impl::dispatch(http_request request, responder respond)
+void http_server::impl::dispatch(http_request request, const responder& respond)
 {
     const std::lock_guard lock{handler_gate_};
     if (stopped_)
--- a/src/libs/net/tests/tst_http_server.cpp
+++ b/src/libs/net/tests/tst_http_server.cpp
@@ -72,6 +72,7 @@
                      }
                      ++handled;
                      http_response response;
+                     response.status = request.path == "/drop" ? 0 : 200;
                      response.body = request.method + " " + request.path + " " + request.body;
                      respond(std::move(response));
                  }}
@@ -279,3 +280,11 @@
     http_server bad_address{f.runtime, settings, [](const http_request&, const http_server::responder&) {}};
     CHECK(bad_address.listen().error() == listen_errc::bad_address);
 }
+
+TEST_CASE("guards against a partial answer when the handler drops the connection")
+{
+    server_fixture f;
+    raw_client client{f.port};
+    client.send("GET /drop HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(client.read_to_end().empty());
+}
--- a/src/libs/platform/tests/fakes/fake_kv_store.cpp
+++ b/src/libs/platform/tests/fakes/fake_kv_store.cpp
@@ -11,7 +11,7 @@
 }
 
 template <typename Result, typename Callback, typename Effect>
-void fake_kv_store::call(std::string label, bool write, Callback done, Effect effect)
+void fake_kv_store::call(const std::string& label, bool write, Callback done, Effect effect)
 {
     const auto lose = [done] { done(Result{tl::unexpected{store_errc::timed_out}}); };
     const auto arrive = [this, label, write, done, effect, lose] {
@@ -29,7 +29,7 @@
         pump_.add(
             call_pump::direction::answer, label, [done, result] { done(result); }, lose);
     };
-    pump_.add(call_pump::direction::request, std::move(label), arrive, lose);
+    pump_.add(call_pump::direction::request, label, arrive, lose);
 }
 
 void fake_kv_store::get(const std::string& key, store_revision known, get_callback done)
--- a/src/libs/platform/tests/fakes/fake_kv_store.h
+++ b/src/libs/platform/tests/fakes/fake_kv_store.h
@@ -41,7 +41,7 @@
 
 private:
     template <typename Result, typename Callback, typename Effect>
-    void call(std::string label, bool write, Callback done, Effect effect);
+    void call(const std::string& label, bool write, Callback done, Effect effect);
 
     call_pump& pump_;
     const clock& time_;
--- a/src/libs/platform/tests/fakes/fake_target.cpp
+++ b/src/libs/platform/tests/fakes/fake_target.cpp
@@ -37,7 +37,7 @@
 }
 
 template <typename Result, typename Effect>
-void fake_target::call(std::string label, const target_id& target, std::function<void(Result)> done,
+void fake_target::call(const std::string& label, const target_id& target, std::function<void(Result)> done,
                        Effect effect)
 {
     const auto arrive = [this, label, target, done, effect] {
@@ -54,12 +54,12 @@
         answer<Result>(label, target, done, std::move(result));
     };
     const auto lose = [done] { done(Result{tl::unexpected{target_errc::timed_out}}); };
-    pump_.add(call_pump::direction::request, std::move(label), arrive, lose);
+    pump_.add(call_pump::direction::request, label, arrive, lose);
 }
 
 void fake_target::call_for_result(
-    std::string label, const target_id& target, const task_id& task, result_callback done,
-    std::function<tl::expected<target_model::start_action, target_errc>()> effect)
+    const std::string& label, const target_id& target, const task_id& task, const result_callback& done,
+    const std::function<tl::expected<target_model::start_action, target_errc>()>& effect)
 {
     using result = tl::expected<task_result, target_errc>;
     const auto arrive = [this, label, target, task, done, effect] {
@@ -79,7 +79,7 @@
         answer_waiters();
     };
     const auto lose = [done] { done(result{tl::unexpected{target_errc::timed_out}}); };
-    pump_.add(call_pump::direction::request, std::move(label), arrive, lose);
+    pump_.add(call_pump::direction::request, label, arrive, lose);
 }
 
 void fake_target::answer_waiters()
@@ -122,7 +122,7 @@
                         result_callback done)
 {
     const target_id id = target.id;
-    call_for_result("start " + id.str() + " " + order.task.str(), id, order.task, std::move(done),
+    call_for_result("start " + id.str() + " " + order.task.str(), id, order.task, done,
                     [this, id, token, order] {
                         const tl::expected<target_model::start_action, target_errc> action =
                             models_.at(id).start(token, order, time_.now());
@@ -135,7 +135,7 @@
 void fake_target::fetch(const target_endpoint& target, const task_id& task, result_callback done)
 {
     const target_id id = target.id;
-    call_for_result("fetch " + id.str() + " " + task.str(), id, task, std::move(done),
+    call_for_result("fetch " + id.str() + " " + task.str(), id, task, done,
                     [this, id, task] { return models_.at(id).fetch(task, time_.now()); });
 }
 
--- a/src/libs/platform/tests/fakes/fake_target.h
+++ b/src/libs/platform/tests/fakes/fake_target.h
@@ -66,10 +66,12 @@
     void answer(const std::string& label, const target_id& target, const std::function<void(Result)>& done,
                 Result result);
     template <typename Result, typename Effect>
-    void call(std::string label, const target_id& target, std::function<void(Result)> done, Effect effect);
-    void call_for_result(std::string label, const target_id& target, const task_id& task,
-                         result_callback done,
-                         std::function<tl::expected<target_model::start_action, target_errc>()> effect);
+    void call(const std::string& label, const target_id& target, std::function<void(Result)> done,
+              Effect effect);
+    void
+    call_for_result(const std::string& label, const target_id& target, const task_id& task,
+                    const result_callback& done,
+                    const std::function<tl::expected<target_model::start_action, target_errc>()>& effect);
     /// Answers the calls that wait for tasks which have ended.
     void answer_waiters();
     [[nodiscard]] bool take_loss(const target_id& target, target_errc& ec);
--- a/src/libs/platform/tests/fakes/target_model.cpp
+++ b/src/libs/platform/tests/fakes/target_model.cpp
@@ -101,6 +101,7 @@
     record.report = {order.task, order.request, order.team, task_state::running, order.reserved};
     record.run = runs_.size();
     runs_.push_back({order.task, order.request, order.team, now, std::nullopt, task_state::running});
+    running_.insert(order.task);
     high_water_ = std::max(high_water_, running_count());
     return start_action::execute;
 }
@@ -127,7 +128,7 @@
         task_record& tombstone = tasks_[task];
         tombstone.report.task = task;
         tombstone.report.state = task_state::never_started;
-        tombstone.ended = now;
+        ended_.emplace_back(now, task);
         return task_state::never_started;
     }
     if (it->second.report.state == task_state::running)
@@ -138,7 +139,8 @@
 void target_model::end_task(task_record& record, task_state state, timestamp now)
 {
     record.report.state = state;
-    record.ended = now;
+    running_.erase(record.report.task);
+    ended_.emplace_back(now, record.report.task);
     runs_[record.run].ended = now;
     runs_[record.run].state = state;
 }
@@ -169,59 +171,39 @@
     }
 }
 
-bool target_model::running(const task_id& task) const
-{
-    const auto it = tasks_.find(task);
-    return it != tasks_.end() && it->second.report.state == task_state::running;
-}
-
 std::vector<task_id> target_model::expire(timestamp now)
 {
     std::vector<task_id> stopped;
-    const bool lapsed = lease_.has_value() && lease_ends_ <= now;
-    for (auto it = tasks_.begin(); it != tasks_.end();) {
-        task_record& record = it->second;
-        if (record.report.state == task_state::running) {
-            if (lapsed) {
-                end_task(record, task_state::stopped, now);
-                stopped.push_back(it->first);
-            }
-            ++it;
-        } else if (record.ended + settings_.retention <= now) {
-            it = tasks_.erase(it);
-        } else {
-            ++it;
-        }
+    if (lease_.has_value() && lease_ends_ <= now) {
+        stopped.assign(running_.begin(), running_.end());
+        for (const task_id& task : stopped)
+            end_task(tasks_.at(task), task_state::stopped, now);
+    }
+    while (!ended_.empty() && ended_.front().first + settings_.retention <= now) {
+        tasks_.erase(ended_.front().second);
+        ended_.pop_front();
     }
     return stopped;
 }
 
 void target_model::reboot(timestamp now)
 {
-    for (auto& [task, record] : tasks_) {
-        if (record.report.state == task_state::running)
-            end_task(record, task_state::stopped, now);
-    }
+    const std::set<task_id> killed = running_;
+    for (const task_id& task : killed)
+        end_task(tasks_.at(task), task_state::stopped, now);
     tasks_.clear();
+    ended_.clear();
     challenges_.clear();
     lease_.reset();
     booted_ = now;
     boot_id_ = id_.str() + "-boot-" + std::to_string(++boot_count_);
 }
 
-std::int64_t target_model::running_count() const
-{
-    return std::count_if(tasks_.begin(), tasks_.end(),
-                         [](const auto& entry) { return entry.second.report.state == task_state::running; });
-}
-
 resources target_model::used() const
 {
     resources sum;
-    for (const auto& [task, record] : tasks_) {
-        if (record.report.state == task_state::running)
-            sum += record.report.used;
-    }
+    for (const task_id& task : running_)
+        sum += tasks_.at(task).report.used;
     return sum;
 }
 
@@ -229,11 +211,10 @@
 {
     // Running tasks refer to their entry by index, so these entries are kept.
     std::vector<task_run> kept;
-    for (auto& [task, record] : tasks_) {
-        if (record.report.state == task_state::running) {
-            kept.push_back(runs_[record.run]);
-            record.run = kept.size() - 1;
-        }
+    for (const task_id& task : running_) {
+        task_record& record = tasks_.at(task);
+        kept.push_back(runs_[record.run]);
+        record.run = kept.size() - 1;
     }
     runs_ = std::move(kept);
     high_water_ = running_count();
--- a/src/libs/platform/tests/fakes/target_model.h
+++ b/src/libs/platform/tests/fakes/target_model.h
@@ -4,9 +4,12 @@
 #include "platform/target_client.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mjm {
@@ -55,7 +58,7 @@
     /// Result of an ended task. A task that was stopped while it ran has no result: `bad_response`, which
     /// does not claim that nothing ran.
     [[nodiscard]] tl::expected<task_result, target_errc> result(const task_id& task) const;
-    [[nodiscard]] bool running(const task_id& task) const;
+    [[nodiscard]] bool running(const task_id& task) const { return running_.contains(task); }
     /// Stops the tasks of a lapsed lease and drops what is retained too long. Returns the tasks stopped.
     std::vector<task_id> expire(timestamp now);
 
@@ -65,7 +68,7 @@
 
     [[nodiscard]] const target_id& id() const { return id_; }
     [[nodiscard]] const std::string& boot_id() const { return boot_id_; }
-    [[nodiscard]] std::int64_t running_count() const;
+    [[nodiscard]] std::int64_t running_count() const { return static_cast<std::int64_t>(running_.size()); }
     [[nodiscard]] std::int64_t running_high_water() const { return high_water_; }
     [[nodiscard]] const std::vector<task_run>& runs() const { return runs_; }
     void clear_runs();
@@ -75,7 +78,6 @@
         task_report report;
         bool succeeded = false;
         std::string body;
-        timestamp ended;
         std::size_t run = 0; ///< Index into `runs_`; meaningless for a tombstone.
     };
 
@@ -95,6 +97,9 @@
     timestamp lease_ends_;
     bool leaving_ = false;
     std::map<task_id, task_record> tasks_;
+    // Kept beside `tasks_`, so that a call does not visit every retained result.
+    std::set<task_id> running_;
+    std::deque<std::pair<timestamp, task_id>> ended_; ///< In order of time.
     std::vector<task_run> runs_;
     std::int64_t high_water_ = 0;
 };
--- a/src/libs/platform/tests/tst_fakes.cpp
+++ b/src/libs/platform/tests/tst_fakes.cpp
@@ -20,7 +20,7 @@
         targets.challenge(endpoint, [&](const auto& r) { challenge = r; });
         pump.deliver_all();
         REQUIRE(challenge);
-        const lease_token token{{service_id{"s"}, zone_id{"z"}}, assignment, epoch, challenge->boot_id};
+        lease_token token{{service_id{"s"}, zone_id{"z"}}, assignment, epoch, challenge->boot_id};
         bool opened = false;
         targets.open_lease(endpoint, token, challenge->challenge, std::chrono::seconds{60},
                            [&](const auto& r) { opened = r.has_value(); });
