--- a/src/libs/core/bounded_ring.h
+++ b/src/libs/core/bounded_ring.h
@@ -75,6 +75,11 @@
         ready_.notify_all();
     }
 
+    [[nodiscard]] bool closed() const
+    {
+        const std::lock_guard lock{mutex_};
+        return closed_;
+    }
     [[nodiscard]] std::size_t size() const
     {
         const std::lock_guard lock{mutex_};
--- a/src/libs/settings/settings_fields.cpp
+++ b/src/libs/settings/settings_fields.cpp
@@ -127,12 +127,12 @@
     void read_object(const field_table& table, const json& value, const std::string& path, void* object)
     {
         const std::string prefix = path.empty() ? path : path + ".";
-        for (const auto& [key, unused] : value.items()) {
-            const std::vector<field>& fields = table.fields();
-            const bool known =
-                std::any_of(fields.begin(), fields.end(), [&](const field& f) { return f.key == key; });
+        const std::vector<field>& fields = table.fields();
+        for (json::const_iterator it = value.begin(); it != value.end(); ++it) {
+            const bool known = std::any_of(fields.begin(), fields.end(),
+                                           [&it](const field& f) { return f.key == it.key(); });
             if (!known)
-                report(settings_errc::unknown_key, prefix + key, text_of(value[key]), keys_of(table));
+                report(settings_errc::unknown_key, prefix + it.key(), text_of(*it), keys_of(table));
         }
         for (const field& f : table.fields()) {
             const json::const_iterator it = value.find(f.key);
