--- /dev/null
+++ b/src/plugins/configuration/commit_promise.cpp
@@ -0,0 +1,16 @@
+#include "configuration/commit_promise.h"
+
+#include <algorithm>
+
+namespace mjm {
+
+std::optional<timestamp> commit_promise::give(timestamp now)
+{
+    if (outstanding_ > 0)
+        return std::nullopt;
+    const timestamp until = now + length_;
+    until_ = until_ ? std::max(*until_, until) : until;
+    return until;
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/configuration/commit_promise.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/time_types.h"
+
+#include <optional>
+
+namespace mjm {
+
+/// Keeps the promises "the store is unreachable from here, no commit for a while" that this process gave
+/// to other hosts. One object is shared by everything in the process that commits or promises.
+class commit_promise {
+public:
+    explicit commit_promise(duration length = std::chrono::seconds{3}) : length_{length} {}
+
+    /// Promises not to commit for the length of a promise from `now` on. Nothing, and no promise, while a
+    /// commit is outstanding: its write may take effect at any time until the store has answered.
+    [[nodiscard]] std::optional<timestamp> give(timestamp now);
+    /// True when no promise is in force and a commit may be sent.
+    [[nodiscard]] bool may_commit(timestamp now) const { return !until_ || now >= *until_; }
+
+    /// Brackets a commit from before its write is sent until its effect is known.
+    void commit_started() { ++outstanding_; }
+    void commit_resolved() { --outstanding_; }
+
+private:
+    duration length_;
+    std::optional<timestamp> until_;
+    int outstanding_ = 0;
+};
+
+} // namespace mjm
