Carry epoch and mode of forwarded requests and targets' uptime over the wire

Cause: the interfaces gained these fields after the codecs were written. Change: codecs and their tests.

--- a/src/libs/platform/peer_codec.cpp
+++ b/src/libs/platform/peer_codec.cpp
@@ -68,7 +68,10 @@
 
 std::string encode_forwarded_request(const forwarded_request& value)
 {
-    return to_cbor_text({{"shard", shard_fields(value.shard)}, {"work", request_fields(value.work)}});
+    return to_cbor_text({{"shard", shard_fields(value.shard)},
+                         {"epoch", value.epoch},
+                         {"mode", name_of(value.mode)},
+                         {"work", request_fields(value.work)}});
 }
 
 tl::expected<forwarded_request, codec_errc> decode_forwarded_request(std::string_view text)
@@ -76,6 +79,8 @@
     cbor_reader in = cbor_reader::parse(text);
     forwarded_request out;
     out.shard = read_shard(in, "shard");
+    out.epoch = in.unsigned_integer("epoch");
+    out.mode = read_enum<forward_mode>(in, "mode");
     cbor_reader work = cbor_reader::of(in.nested("work"));
     tl::expected<request, codec_errc> r = read_request(work);
     if (!in.ok())
--- a/src/libs/platform/target_codec.cpp
+++ b/src/libs/platform/target_codec.cpp
@@ -168,7 +168,7 @@
                          {"boot_id", value.boot_id},
                          {"slots", value.slots},
                          {"leaving", value.leaving},
-                         {"memory_intact", value.memory_intact},
+                         {"uptime_us", value.uptime.count()},
                          {"tasks", std::move(tasks)}});
 }
 
@@ -179,7 +179,7 @@
     out.boot_id = in.text("boot_id");
     out.slots = in.integer("slots");
     out.leaving = in.boolean("leaving");
-    out.memory_intact = in.boolean("memory_intact");
+    out.uptime = duration{in.integer("uptime_us")};
     const nlohmann::json tasks = in.nested("tasks");
     if (!tasks.is_array())
         in.fail();
--- a/src/libs/platform/tests/tst_codecs.cpp
+++ b/src/libs/platform/tests/tst_codecs.cpp
@@ -56,8 +56,11 @@
     const request r = sample_request();
     check_same(decode_request(encode_request(r)).value(), r);
     const shard_id shard{service_id{"lens"}, zone_id{"z1"}};
-    const forwarded_request f = decode_forwarded_request(encode_forwarded_request({shard, r})).value();
+    const forwarded_request f =
+        decode_forwarded_request(encode_forwarded_request({shard, 9, forward_mode::wait, r})).value();
     CHECK(f.shard == shard);
+    CHECK(f.epoch == 9);
+    CHECK(f.mode == forward_mode::wait);
     check_same(f.work, r);
     const cancel_message c = decode_cancel(encode_cancel({shard, r.id})).value();
     CHECK(c.shard == shard);
@@ -84,7 +87,8 @@
 
 TEST_CASE("guards against truncated, damaged or deeply nested messages being accepted or ending the process")
 {
-    const std::string whole = encode_forwarded_request({{service_id{"s"}, zone_id{"z"}}, sample_request()});
+    const std::string whole = encode_forwarded_request(
+        {{service_id{"s"}, zone_id{"z"}}, 1, forward_mode::submit, sample_request()});
     for (std::size_t n = 0; n < whole.size(); ++n)
         CHECK_FALSE(decode_forwarded_request(std::string_view{whole}.substr(0, n)));
     for (std::size_t i = 0; i < whole.size(); ++i) {
@@ -116,11 +120,12 @@
     const target_id id{"t1"};
     const task_report report{task_id{"t"}, request_id{"r"}, team_id{"a"}, task_state::stopped, {4, 3, 2, 1}};
     const lease_grant grant =
-        decode_grant(encode_grant(id, {"boot", 8, true, false, {report, report}}), id).value();
+        decode_grant(encode_grant(id, {"boot", 8, true, std::chrono::seconds{9}, {report, report}}), id)
+            .value();
     CHECK(grant.boot_id == "boot");
     CHECK(grant.slots == 8);
     CHECK(grant.leaving);
-    CHECK_FALSE(grant.memory_intact);
+    CHECK(grant.uptime == std::chrono::seconds{9});
     REQUIRE(grant.tasks.size() == 2);
     CHECK(grant.tasks[1].state == task_state::stopped);
     CHECK(grant.tasks[1].used == report.used);
