--- a/src/plugins/entry/entry_node.cpp
+++ b/src/plugins/entry/entry_node.cpp
@@ -13,14 +13,30 @@
     return outcome{outcome_kind::refused_not_run, reason::moved, duration{0}, {}};
 }
 
+timeline_kind timeline_kind_of(shard_event event)
+{
+    switch (event) {
+    case shard_event::started:
+        return timeline_kind::task_started;
+    case shard_event::ended:
+        return timeline_kind::request_finished;
+    case shard_event::retried:
+        return timeline_kind::task_retried;
+    case shard_event::adopted:
+        return timeline_kind::task_adopted;
+    case shard_event::recovered:
+        return timeline_kind::shard_recovered;
+    case shard_event::target_opened:
+        return timeline_kind::lease_opened;
+    }
+    return timeline_kind::request_unknown;
+}
+
 } // namespace
 
-entry_node::entry_node(const entry_node_settings& settings, const entry_services& services,
-                       std::function<void(const node_event&)> report)
-    : settings_{settings}, services_{services}, report_{std::move(report)}, membership_{settings.self,
-                                                                                        services.store,
-                                                                                        services.random,
-                                                                                        settings.membership},
+entry_node::entry_node(const entry_node_settings& settings, const entry_services& services)
+    : settings_{settings}, services_{services}, membership_{settings.self, services.store, services.random,
+                                                            settings.membership},
       replica_{services.store, settings.replica}, freshness_{settings.freshness}, front_{*this, services.time,
                                                                                          services.random,
                                                                                          services.peers,
@@ -44,6 +60,7 @@
     membership_.tick(now);
     replica_.tick(now);
     update_freshness();
+    watch_changes();
     for (auto& [shard, owned] : owned_)
         owned->tick(now);
     front_.tick();
@@ -65,8 +82,9 @@
     freshness_.set_version(config->version);
     for (auto& [shard, owned] : owned_)
         owned->configure(*config);
-    if (report_)
-        report_(node_event{"config_installed", {}, {}, {}, {}, {}, config->version});
+    timeline_fields fields;
+    fields.version = config->version;
+    services_.events.record(timeline_kind::config_installed, std::move(fields));
 }
 
 void entry_node::gain(const shard_id& shard, shard_epoch epoch)
@@ -77,16 +95,12 @@
     };
     std::unique_ptr<owned_shard> owned = std::make_unique<owned_shard>(
         shard, epoch, services_.store, services_.time, services_.random, services_.targets, confirm,
-        [this](const shard_event_record& event) {
-            if (report_)
-                report_(node_event{std::string{name_of(event.kind)}, event.shard, event.request, event.team,
-                                   event.target, event.detail, 0});
-        },
-        settings_.permits, settings_.shards);
+        [this](const shard_event_record& event) { record_shard_event(event); }, settings_.permits,
+        settings_.shards);
     if (replica_.current())
         owned->configure(*replica_.current());
     owned_.emplace(shard, std::move(owned));
-    report("shard_gained", shard, std::to_string(epoch));
+    record(timeline_kind::shard_gained, shard, std::to_string(epoch));
 }
 
 void entry_node::lose(const shard_id& shard)
@@ -98,7 +112,7 @@
     owned_.erase(it);
     owned->close();
     retired_.push_back(std::move(owned));
-    report("shard_lost", shard, {});
+    record(timeline_kind::shard_lost, shard, {});
 }
 
 std::optional<shard_route> entry_node::route(const shard_id& shard) const
@@ -175,7 +189,7 @@
     status_message message;
     message.host = settings_.self.endpoint.id;
     message.zone = settings_.self.zone;
-    message.sent = hybrid_.tick(services_.time.wall_now());
+    message.sent = services_.events.stamp();
     message.config_version = replica_.current() ? replica_.current()->version : 0;
     if (const std::optional<timestamp> confirmed = replica_.last_confirmed())
         message.confirmed_age = services_.time.now() - *confirmed;
@@ -235,7 +249,7 @@
 void entry_node::receive_status(const status_message& message, std::optional<timestamp> asked)
 {
     const timestamp now = services_.time.now();
-    hybrid_.observe(message.sent, services_.time.wall_now());
+    services_.events.observe(message.sent);
     fleet_.record(message, now);
     if (message.store_reachable) {
         freshness_.store_reachable_reported(message.host);
@@ -316,7 +330,7 @@
     draining_ = true;
     front_.drain();
     membership_.leave(services_.time.now());
-    report("drain_started", {}, {});
+    record(timeline_kind::drain_started, {}, {});
 }
 
 bool entry_node::drained() const
@@ -344,10 +358,36 @@
     return result;
 }
 
-void entry_node::report(std::string kind, const shard_id& shard, std::string detail) const
+void entry_node::record(timeline_kind kind, const shard_id& shard, std::string detail)
+{
+    timeline_fields fields;
+    if (!shard.service.empty())
+        fields.shard = shard;
+    fields.detail = std::move(detail);
+    services_.events.record(kind, std::move(fields));
+}
+
+void entry_node::record_shard_event(const shard_event_record& event)
+{
+    timeline_fields fields;
+    fields.team = event.team;
+    fields.subject = event.target.str();
+    fields.request = event.request;
+    fields.shard = event.shard;
+    fields.detail = event.detail;
+    services_.events.record(timeline_kind_of(event.kind), std::move(fields));
+}
+
+void entry_node::watch_changes()
 {
-    if (report_)
-        report_(node_event{std::move(kind), shard, {}, {}, {}, std::move(detail), 0});
+    const bool reachable = store_reachable();
+    if (reachable != store_was_reachable_)
+        record(reachable ? timeline_kind::store_restored : timeline_kind::store_lost, {}, {});
+    store_was_reachable_ = reachable;
+    const key_policy policy = keys();
+    if (policy != last_policy_)
+        record(timeline_kind::key_policy_changed, {}, std::string{name_of(policy)});
+    last_policy_ = policy;
 }
 
 } // namespace mjm
--- a/src/plugins/entry/entry_node.h
+++ b/src/plugins/entry/entry_node.h
@@ -2,12 +2,12 @@
 
 #include "configuration/config_replica.h"
 #include "configuration/key_freshness.h"
-#include "core/hybrid_clock.h"
 #include "entry/fleet_view.h"
 #include "entry/owned_shard.h"
 #include "front/front.h"
 #include "membership/membership_agent.h"
 #include "platform/host_list.h"
+#include "timeline/timeline.h"
 
 #include <functional>
 #include <map>
@@ -33,17 +33,6 @@
     duration host_list_lag{std::chrono::seconds{60}};
 };
 
-/// Something that happened on this host, for the time line.
-struct node_event {
-    std::string kind;
-    shard_id shard;
-    request_id request;
-    team_id team;
-    target_id target;
-    std::string detail;
-    std::uint64_t config_version = 0;
-};
-
 /// Outward services that a node works with.
 struct entry_services {
     kv_store& store;
@@ -52,6 +41,7 @@
     host_list& hosts;
     const clock& time;
     random_source& random;
+    timeline& events; ///< Also the source of the hybrid time sent to other hosts.
 };
 
 struct node_status {
@@ -69,8 +59,7 @@
 /// through `entry_services` and the members below; all calls come from one thread.
 class entry_node final : private routing_view {
 public:
-    entry_node(const entry_node_settings& settings, const entry_services& services,
-               std::function<void(const node_event&)> report);
+    entry_node(const entry_node_settings& settings, const entry_services& services);
     ~entry_node() override;
 
     /// Drives all timers; call every few tens of milliseconds.
@@ -112,16 +101,16 @@
     void apply_host_list(const std::vector<listed_host>& listed);
     [[nodiscard]] status_message own_status();
     [[nodiscard]] bool store_reachable() const;
-    void report(std::string kind, const shard_id& shard, std::string detail) const;
+    void record(timeline_kind kind, const shard_id& shard, std::string detail);
+    void record_shard_event(const shard_event_record& event);
+    void watch_changes();
 
     entry_node_settings settings_;
     entry_services services_;
-    std::function<void(const node_event&)> report_;
     membership_agent membership_;
     config_replica replica_;
     key_freshness freshness_;
     fleet_view fleet_;
-    hybrid_clock hybrid_;
     std::map<shard_id, std::unique_ptr<owned_shard>> owned_;
     std::vector<std::unique_ptr<owned_shard>> retired_; ///< Destroyed at the next tick, outside callbacks.
     front front_;
@@ -130,6 +119,8 @@
     timestamp next_host_list_;
     bool reading_host_list_ = false;
     bool draining_ = false;
+    bool store_was_reachable_ = true;
+    key_policy last_policy_ = key_policy::refusing;
     std::size_t malformed_ = 0;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/src/plugins/entry/tests/fleet_fixture.cpp
+++ b/src/plugins/entry/tests/fleet_fixture.cpp
@@ -147,15 +147,16 @@
 
 void fleet_fixture::start_node(host_state& host)
 {
-    const std::string id = host.self.endpoint.id.str();
+    constexpr std::size_t event_capacity = 1000;
+    if (!host.events)
+        host.events = std::make_unique<timeline>(host.self.endpoint.id, host.self.zone, time, event_capacity);
     if (!host.store)
         host.store = std::make_unique<cuttable_store>(store, pump);
     host.peers = std::make_unique<fake_peer_client>(peers, host.self.endpoint.id);
     entry_node_settings settings;
     settings.self = host.self;
     host.node = std::make_unique<entry_node>(
-        settings, entry_services{*host.store, targets, *host.peers, host_list, time, random},
-        [this, id](const node_event& event) { events.emplace_back(id, event); });
+        settings, entry_services{*host.store, targets, *host.peers, host_list, time, random, *host.events});
     entry_node* node = host.node.get();
     fake_peer_network::handlers handlers;
     handlers.forward = [node](const forwarded_request& message, std::function<void(outcome)> done) {
--- a/src/plugins/entry/tests/fleet_fixture.h
+++ b/src/plugins/entry/tests/fleet_fixture.h
@@ -107,13 +107,13 @@
     fake_host_list host_list{pump};
     fleet_config config;
     std::vector<std::string> violations;
-    std::vector<std::pair<std::string, node_event>> events;
 
 private:
     struct host_state {
         member self;
         std::unique_ptr<cuttable_store> store;
         std::unique_ptr<fake_peer_client> peers;
+        std::unique_ptr<timeline> events;
         std::unique_ptr<entry_node> node;
         bool paused = false;
     };
--- a/src/plugins/shard/shard_owner.cpp
+++ b/src/plugins/shard/shard_owner.cpp
@@ -649,7 +649,6 @@
         attempt->abandon();
     for (const request_id& id : requests_.open_ids())
         requests_.end_and_forget(id, refused(reason::moved));
-    report(shard_event::closed, {}, {}, {}, "");
 }
 
 shard_load shard_owner::load() const
--- a/src/plugins/shard/shard_owner.h
+++ b/src/plugins/shard/shard_owner.h
@@ -41,21 +41,7 @@
 };
 
 /// Kinds of events that a shard's owner reports for the time line.
-enum class shard_event { started, ended, retried, adopted, recovered, target_opened, target_ejected, closed };
-
-template <>
-struct enum_names<shard_event> {
-    static constexpr std::array<std::pair<shard_event, std::string_view>, 8> entries{{
-        {shard_event::started, "task_started"},
-        {shard_event::ended, "request_ended"},
-        {shard_event::retried, "request_retried"},
-        {shard_event::adopted, "task_adopted"},
-        {shard_event::recovered, "shard_recovered"},
-        {shard_event::target_opened, "target_opened"},
-        {shard_event::target_ejected, "target_ejected"},
-        {shard_event::closed, "shard_closed"},
-    }};
-};
+enum class shard_event { started, ended, retried, adopted, recovered, target_opened };
 
 struct shard_event_record {
     shard_event kind = shard_event::started;
