--- a/src/plugins/permits/permit_agent.cpp
+++ b/src/plugins/permits/permit_agent.cpp
@@ -31,7 +31,7 @@
     void tick(timestamp now);
     [[nodiscard]] std::int64_t held(const team_id& team) const;
     void on_gain(std::function<void()> callback) { on_gain_ = std::move(callback); }
-    [[nodiscard]] std::int64_t document_limit(const team_id& team) const;
+    [[nodiscard]] std::uint64_t limit_version(const team_id& team) const;
     void release_all();
     [[nodiscard]] bool superseded() const { return superseded_; }
     [[nodiscard]] const permit_agent_counters& counters() const { return counters_; }
@@ -129,10 +129,10 @@
     return superseded_ || it == slots_.end() ? 0 : it->second.state.held();
 }
 
-std::int64_t permit_agent::impl::document_limit(const team_id& team) const
+std::uint64_t permit_agent::impl::limit_version(const team_id& team) const
 {
     const auto it = slots_.find(team);
-    return it == slots_.end() ? 0 : it->second.state.document_limit();
+    return it == slots_.end() ? 0 : it->second.state.limit_version();
 }
 
 void permit_agent::impl::release_all()
@@ -332,9 +332,9 @@
     impl_->release_all();
 }
 
-std::int64_t permit_agent::document_limit(const team_id& team) const
+std::uint64_t permit_agent::limit_version(const team_id& team) const
 {
-    return impl_->document_limit(team);
+    return impl_->limit_version(team);
 }
 
 bool permit_agent::superseded() const
--- a/src/plugins/permits/permit_agent.h
+++ b/src/plugins/permits/permit_agent.h
@@ -55,8 +55,8 @@
     void release_all();
     /// True once a higher epoch was seen for the shard; this agent then holds nothing any more.
     [[nodiscard]] bool superseded() const;
-    /// Limit in the team's document as last confirmed by the store; 0 before.
-    [[nodiscard]] std::int64_t document_limit(const team_id& team) const;
+    /// Configuration version of the limit in the team's document as last confirmed; 0 before.
+    [[nodiscard]] std::uint64_t limit_version(const team_id& team) const;
     [[nodiscard]] permit_agent_counters counters() const;
 
 private:
--- a/src/plugins/permits/permit_document.cpp
+++ b/src/plugins/permits/permit_document.cpp
@@ -92,14 +92,17 @@
 {
     limit = new_limit;
     limit_version = version;
-    caps.clear();
-    if (granted() <= limit)
+    if (granted() <= limit) {
+        caps.clear();
         return;
-    std::map<shard_id, std::int64_t> counts;
+    }
+    // A cap never grows while the grants exceed the limit: another shard may not have read the lower cap
+    // that made room for it. A raised limit is used through free permits once the grants are within it.
+    std::map<shard_id, std::int64_t> usable;
     for (const auto& [shard, grant] : grants)
-        counts[shard] = grant.count;
-    for (const auto& [shard, part] : divide_in_proportion(limit, counts)) {
-        if (part < counts[shard])
+        usable[shard] = usable_by(shard);
+    for (const auto& [shard, part] : divide_in_proportion(limit, usable)) {
+        if (part < count_of(shard))
             caps[shard] = part;
     }
 }
--- a/src/plugins/permits/team_permits.cpp
+++ b/src/plugins/permits/team_permits.cpp
@@ -55,6 +55,11 @@
         return;
     if (in_doubt_ && revision > in_doubt_->base)
         in_doubt_.reset();
+    if (document.count_of(shard_) > document_.count_of(shard_)) {
+        // Permits just gained are usable for a while: otherwise, with fewer permits than shards, each would
+        // give way again before it has started a task.
+        keep_until_ = now + settings_.poll_interval;
+    }
     document_ = document;
     exists_ = true;
     revision_ = revision;
@@ -170,12 +175,12 @@
 {
     ceiling_ = unlimited;
     if (limit_is_new() && limit_ < document_.limit) {
-        // A lowered limit blocks starts at once, before the document has been rewritten.
-        permit_document lowered = document_;
-        lowered.set_limit(limit_, config_version_);
-        ceiling_ = lowered.usable_by(shard_);
+        // A lowered limit blocks starts at once, before the document has been rewritten. Scaling the own
+        // grant by the ratio of the limits and rounding down keeps the sum within the new limit whatever
+        // the other shards have read.
+        ceiling_ = document_.usable_by(shard_) * limit_ / document_.limit;
     }
-    if (exists_ && demand_known_ && shortage()) {
+    if (exists_ && demand_known_ && shortage() && *read_at_ >= keep_until_) {
         const std::int64_t part = fair_part();
         const std::int64_t tolerance = others_starve() ? 0 : part / give_way_divisor;
         if (document_.count_of(shard_) > part + tolerance)
--- a/src/plugins/permits/team_permits.h
+++ b/src/plugins/permits/team_permits.h
@@ -32,7 +32,7 @@
     [[nodiscard]] std::int64_t held() const;
     /// Permits granted to the shard in the last confirmed document.
     [[nodiscard]] std::int64_t count() const { return document_.count_of(shard_); }
-    [[nodiscard]] std::int64_t document_limit() const { return document_.limit; }
+    [[nodiscard]] std::uint64_t limit_version() const { return document_.limit_version; }
     [[nodiscard]] store_revision revision() const { return revision_; }
     [[nodiscard]] std::optional<timestamp> read_at() const { return read_at_; }
     /// False when nothing about this team can concern the shard now.
@@ -98,6 +98,7 @@
     std::map<shard_id, waiter> waiters_;
     std::map<shard_id, std::int64_t> active_needs_; ///< Needs of other shards that still wait.
     timestamp take_not_before_;
+    timestamp keep_until_;
     std::int64_t ceiling_ = 0; ///< Upper bound from a lowered limit or from other shards' needs.
 };
 
