--- a/src/plugins/membership/membership_agent.cpp
+++ b/src/plugins/membership/membership_agent.cpp
@@ -196,6 +196,8 @@
     }
     if (const auto it = roster_.find(self().endpoint.id); it != roster_.end())
         record_->note_incarnation(it->second.incarnation);
+    else
+        record_->note_absent(begun);
     // The ownership document is read after the roster, so that an owner seen in it that registered before
     // its claim is in the roster as well.
     read_zone(self().zone, [this](bool read) {
--- a/src/plugins/membership/own_record.cpp
+++ b/src/plugins/membership/own_record.cpp
@@ -48,6 +48,16 @@
         superseded_ = true;
 }
 
+void own_record::note_absent(timestamp begun)
+{
+    if (!registered_ || begun <= written_at_)
+        return;
+    registered_ = false;
+    written_ = false;
+    counter_checked_ = false;
+    revision_known_ = false;
+}
+
 void own_record::tick(timestamp now)
 {
     now_ = now;
@@ -211,6 +221,7 @@
                    }
                    self->revision_ = *result;
                    self->registered_ = true;
+                   self->written_at_ = self->now_;
                    self->written_ =
                        sent.state == self->self_.state && sent.config_version == self->self_.config_version;
                });
--- a/src/plugins/membership/own_record.h
+++ b/src/plugins/membership/own_record.h
@@ -28,6 +28,10 @@
     /// Another component read this incarnation for the host's name.
     void note_incarnation(std::uint64_t seen);
 
+    /// A roster read begun at `begun` did not list this host. The record of a newer incarnation may have
+    /// come and lapsed in between, so the counter is checked before the record is written again.
+    void note_absent(timestamp begun);
+
     [[nodiscard]] const member& value() const { return self_; }
     /// The record with the present state is in the store, as far as known.
     [[nodiscard]] bool registered() const { return registered_; }
@@ -56,6 +60,7 @@
     timestamp begun_;
     timestamp next_try_;
     timestamp next_renewal_;
+    timestamp written_at_; ///< When the store last confirmed the record.
     store_lease_id lease_ = 0;
     store_revision revision_ = 0; ///< Of the record, 0 when absent.
     bool in_flight_ = false;
