--- a/src/libs/platform/tests/tst_http_peer_client.cpp
+++ b/src/libs/platform/tests/tst_http_peer_client.cpp
@@ -31,7 +31,8 @@
     tl::expected<outcome, peer_errc> forward()
     {
         std::optional<tl::expected<outcome, peer_errc>> result;
-        forwarded_request message{shard, {}};
+        forwarded_request message;
+        message.shard = shard;
         message.work.id = request_id{"r1"};
         message.work.body = "work";
         client.forward(peer, message, [&result](const auto& r) { result = r; });
