--- a/src/libs/logging/tests/tst_logging.cpp
+++ b/src/libs/logging/tests/tst_logging.cpp
@@ -145,6 +145,7 @@
                               ++lines;
                       }};
         std::vector<std::thread> threads;
+        threads.reserve(4);
         for (int t = 0; t < 4; ++t) {
             threads.emplace_back([&sink, t] {
                 const logger log{sink, "thread" + std::to_string(t)};
--- a/src/libs/metrics/tests/tst_metrics.cpp
+++ b/src/libs/metrics/tests/tst_metrics.cpp
@@ -51,6 +51,7 @@
 {
     metric_registry registry;
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int t = 0; t < 4; ++t) {
         threads.emplace_back([&registry] {
             for (int n = 0; n < 1000; ++n)
--- a/src/libs/timeline/tests/tst_timeline.cpp
+++ b/src/libs/timeline/tests/tst_timeline.cpp
@@ -144,6 +144,7 @@
     manual_clock time;
     timeline events = make_timeline(time, 4000);
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int t = 0; t < 4; ++t) {
         threads.emplace_back([&events] {
             for (int n = 0; n < 1000; ++n)
--- a/src/tools/mjm_timeline/main.cpp
+++ b/src/tools/mjm_timeline/main.cpp
@@ -23,6 +23,7 @@
 std::vector<std::string> kind_names()
 {
     std::vector<std::string> names;
+    names.reserve(enum_names<timeline_kind>::entries.size());
     for (const std::pair<timeline_kind, std::string_view>& entry : enum_names<timeline_kind>::entries)
         names.emplace_back(entry.second);
     return names;
