--- a/src/plugins/configuration/commit_promise.cpp
+++ b/src/plugins/configuration/commit_promise.cpp
@@ -13,4 +13,15 @@
     return until;
 }
 
+void commit_promise::commit_started(timestamp now)
+{
+    if (outstanding_++ == 0)
+        since_ = now;
+}
+
+std::optional<timestamp> commit_promise::outstanding_since() const
+{
+    return outstanding_ > 0 ? std::optional{since_} : std::nullopt;
+}
+
 } // namespace mjm
--- a/src/plugins/configuration/commit_promise.h
+++ b/src/plugins/configuration/commit_promise.h
@@ -19,12 +19,15 @@
     [[nodiscard]] bool may_commit(timestamp now) const { return !until_ || now >= *until_; }
 
     /// Brackets a commit from before its write is sent until its effect is known.
-    void commit_started() { ++outstanding_; }
+    void commit_started(timestamp now);
     void commit_resolved() { --outstanding_; }
+    /// When the oldest commit whose effect is not known may have been sent, for `key_freshness`.
+    [[nodiscard]] std::optional<timestamp> outstanding_since() const;
 
 private:
     duration length_;
     std::optional<timestamp> until_;
+    timestamp since_; ///< When `outstanding_` last rose from 0.
     int outstanding_ = 0;
 };
 
--- a/src/plugins/configuration/config_commit.cpp
+++ b/src/plugins/configuration/config_commit.cpp
@@ -95,8 +95,9 @@
     store_revision revision = 0;
 
     config_head next;
-    std::string next_text; ///< Document of an accepted proposal.
-    bool started = false;  ///< The write was announced to `commit_promise`.
+    std::string next_text;         ///< Document of an accepted proposal.
+    store_revision written_on = 0; ///< Revision that the write of `next` replaces.
+    bool started = false;          ///< The write was announced to `commit_promise`.
     bool uncertain = false;
     std::uint64_t search_from = 0; ///< The decision, if there is one, is not older than this version.
     timestamp sent{};
@@ -259,7 +260,7 @@
             return;
         }
         const store_revision revision = answer->entry.revision;
-        if (op->started && revision == op->revision) {
+        if (op->started && revision == op->written_on) {
             retry([this, op] { put_head(op); });
             return;
         }
@@ -524,14 +525,15 @@
             return;
         }
         op->started = true;
-        promise_.commit_started();
+        op->written_on = op->revision;
+        promise_.commit_started(now_);
         put_head(op);
     }
 
     void put_head(const operation_ptr& op)
     {
         op->sent = now_;
-        store_.put(kv_write{std::string{config_head_key}, encode_head(op->next), op->revision, 0},
+        store_.put(kv_write{std::string{config_head_key}, encode_head(op->next), op->written_on, 0},
                    bind([op](impl& self, tl::expected<store_revision, store_errc> answer) {
                        self.head_written(op, answer);
                    }));
--- a/src/plugins/configuration/config_progress.cpp
+++ b/src/plugins/configuration/config_progress.cpp
@@ -19,8 +19,7 @@
 
 void config_progress::observe(const std::map<host_id, std::uint64_t>& members, timestamp now)
 {
-    if (!first_observation_)
-        first_observation_ = now;
+    observed_ = now;
     for (const auto& [host, version] : members) {
         // Replaced, not raised: a restarted process under the same name starts without a version.
         members_[host] = seen_member{version, now};
@@ -33,16 +32,21 @@
 version_progress config_progress::progress(std::uint64_t version, timestamp now) const
 {
     version_progress result;
-    for (const auto& [host, member] : members_)
-        (member.version >= version ? result.reached : result.silent).push_back(host);
+    bool live_reached = true;
+    bool any_live = false;
+    for (const auto& [host, member] : members_) {
+        const bool reached = member.version >= version;
+        const bool live = member.last_seen == observed_;
+        (reached ? result.reached : result.silent).push_back(host);
+        any_live = any_live || live;
+        live_reached = live_reached && (reached || !live);
+    }
     // A newer version committed implies this one; the first that is known gives the time.
     const auto commit = commits_.lower_bound(version);
     if (commit == commits_.end())
         return result;
-    const bool elapsed = now - commit->second >= settings_.grace + settings_.margin;
-    // Until the memory is filled there may be lapsed members that were never observed.
-    const bool all_known = first_observation_ && now - *first_observation_ >= settings_.member_memory;
-    result.in_force_everywhere = elapsed || (all_known && result.silent.empty());
+    result.live_members_reached = any_live && live_reached;
+    result.in_force_everywhere = now - commit->second >= settings_.grace + settings_.margin;
     return result;
 }
 
--- a/src/plugins/configuration/config_progress.h
+++ b/src/plugins/configuration/config_progress.h
@@ -18,14 +18,16 @@
 
 /// Which members have a version in force.
 struct version_progress {
-    bool in_force_everywhere = false;
+    bool in_force_everywhere = false;  ///< No host takes keyed work under an older version any more.
+    bool live_members_reached = false; ///< Each member with a live record has the version.
     std::vector<host_id> reached;
     std::vector<host_id> silent; ///< Not known to have reached the version.
 };
 
-/// Tells when a committed version is in force everywhere: when each member is known to have reached it, or
-/// when a member that is silent must have stopped taking keyed work under an older version. A member can
-/// confirm an older version only before the commit, so grace and margin are counted from the commit.
+/// Tells when a committed version is in force everywhere. A host that holds an older version can confirm it
+/// only as of a time before the commit, so it refuses keyed work once the grace has passed after the commit.
+/// The records of live members alone do not suffice: a host whose record has lapsed may still run and have
+/// its version confirmed by its peers.
 class config_progress {
 public:
     explicit config_progress(const config_progress_settings& settings) : settings_{settings} {}
@@ -46,7 +48,7 @@
     config_progress_settings settings_;
     std::map<std::uint64_t, timestamp> commits_;
     std::map<host_id, seen_member> members_;
-    std::optional<timestamp> first_observation_;
+    timestamp observed_;
 };
 
 } // namespace mjm
--- a/src/plugins/configuration/key_freshness.cpp
+++ b/src/plugins/configuration/key_freshness.cpp
@@ -28,6 +28,13 @@
         promised_until_ = promised_until_ ? std::max(*promised_until_, *until) : *until;
 }
 
+void key_freshness::set_commit_outstanding(std::optional<timestamp> since)
+{
+    own_commit_since_ = since;
+    if (since && promised_until_)
+        promised_until_ = std::min(*promised_until_, *since);
+}
+
 void key_freshness::store_reachable_reported(const host_id& from)
 {
     promises_.erase(from);
@@ -37,7 +44,7 @@
 // earliest of them ends, no committed version can exist that is newer than the one held here.
 std::optional<timestamp> key_freshness::common_promise() const
 {
-    std::optional<timestamp> until;
+    std::optional<timestamp> until = own_commit_since_;
     for (const auto& [host, zone] : committers_) {
         if (host == self_)
             continue;
--- a/src/plugins/configuration/key_freshness.h
+++ b/src/plugins/configuration/key_freshness.h
@@ -44,6 +44,9 @@
     void store_reachable_reported(const host_id& from);
     /// The newest version held here; a promise of a host that has seen a newer one is no confirmation.
     void set_version(std::uint64_t version) { version_ = version; }
+    /// Since when this host itself has a commit whose effect is not known (`commit_promise`), if it has:
+    /// from then on the promises of the others do not show that no newer version exists.
+    void set_commit_outstanding(std::optional<timestamp> since);
     /// This host's own store calls fail.
     void set_self_unreachable(bool unreachable) { self_unreachable_ = unreachable; }
 
@@ -64,6 +67,7 @@
     std::optional<timestamp> confirmed_;
     std::optional<timestamp>
         promised_until_; ///< No unseen commit before this, by promises of all committers.
+    std::optional<timestamp> own_commit_since_;
     std::uint64_t version_ = 0;
     bool self_unreachable_ = false;
 };
