--- a/src/plugins/configuration/config_patch.cpp
+++ b/src/plugins/configuration/config_patch.cpp
@@ -49,6 +49,16 @@
     if (!after.is_object())
         return; // Left to the codec, which reports the wrong type.
     after["version"] = next_version;
+    // Patches that grant a key add to this table.
+    for (const char* const holders : {"teams", "owners", "operators"}) {
+        const auto table = after.find(holders);
+        if (table == after.end() || !table->is_object())
+            continue;
+        for (json& record : *table) {
+            if (record.is_object() && !record.contains("keys"))
+                record["keys"] = json::object();
+        }
+    }
     const auto targets = after.find("targets");
     if (targets == after.end() || !targets->is_object())
         return;
