Measure nearness to share per second, and end reservations with their task

(2) A reservation outlived its task's deadline, so the task could be started after it. (3) A pick without any room ranked and tried all teams. Change: the reference now divides what is delivered in each second by the demand of that second; demand can be skewed against the shares; a passed deadline ends the reservation (new test); a pick with no room for the smallest waiting size returns at once; placement looks up each rack once.

--- a/src/plugins/scheduling/fair_queue.cpp
+++ b/src/plugins/scheduling/fair_queue.cpp
@@ -53,6 +53,7 @@
 
     [[nodiscard]] std::size_t waiting_count() const { return waiting[0].size() + waiting[1].size(); }
     [[nodiscard]] entry_list& urgent() { return waiting[static_cast<std::size_t>(priority::urgent)]; }
+    [[nodiscard]] entry& head() { return urgent().empty() ? normal().front() : urgent().front(); }
     [[nodiscard]] entry_list& normal() { return waiting[static_cast<std::size_t>(priority::normal)]; }
 };
 
@@ -120,6 +121,8 @@
     void move_to_expired(entry_list::iterator it)
     {
         team_state& t = *it->team;
+        if (reserved_ && reserved_->id == it->task.id)
+            reserved_.reset();
         expired_.splice(expired_.end(), *it->list, it);
         it->list = &expired_;
         set_contending(t);
@@ -149,6 +152,19 @@
         return task;
     }
 
+    /// Keeps the lower bound of the waiting sizes; it only rises again when the queue empties.
+    void note_need(const resources& need)
+    {
+        if (index_.empty()) {
+            smallest_need_ = need;
+            return;
+        }
+        smallest_need_.milli_cpu = std::min(smallest_need_.milli_cpu, need.milli_cpu);
+        smallest_need_.memory_mib = std::min(smallest_need_.memory_mib, need.memory_mib);
+        smallest_need_.accelerators = std::min(smallest_need_.accelerators, need.accelerators);
+        smallest_need_.slots = std::min(smallest_need_.slots, need.slots);
+    }
+
     void update_entitlements()
     {
         if (entitlements_valid_)
@@ -220,8 +236,9 @@
     entry_list expired_;
     std::optional<reservation> reserved_;
     timestamp no_reservation_before_;
+    resources smallest_need_;               // no waiting request needs less of any kind
     std::vector<rank> order_;               // reused between picks
-    std::vector<team_state*> passed_teams_; // teams tried in this pick whose head did not fit
+    std::vector<team_state*> passed_teams_; // teams whose head was too large in this pick
     std::vector<resources> no_room_;        // sizes found too large in this pick
 };
 
@@ -257,6 +274,9 @@
         for (auto it = list->begin(); it != list->end() && looked_at < lookahead; ++it, ++looked_at) {
             if (try_start(it->task, context, reserved))
                 return it;
+            // While room is kept for one task, the others are held back by that and not by their size.
+            if (&*it == &t.head() && reserved == nullptr)
+                passed_teams_.push_back(&t);
         }
     }
     return std::nullopt;
@@ -281,7 +301,7 @@
 void fair_queue::impl::count_passed_over(team_state& t, bool can_coexist, timestamp now)
 {
     constexpr unsigned max_doublings = 8;
-    entry& head = t.urgent().empty() ? t.normal().front() : t.urgent().front();
+    entry& head = t.head();
     ++head.passed_over;
     const unsigned bar = limits_.max_passed_over << std::min(head.reservations, max_doublings);
     if (head.passed_over < bar || reserved_ || now < no_reservation_before_)
@@ -299,12 +319,15 @@
     order_.clear();
     passed_teams_.clear();
     no_room_.clear();
+    const queued_task* reserved = active_reservation(context, now);
+    // Most picks of a full shard end here, without a look at any team.
+    if (index_.size() == expired_.size() || (context.has_room && !context.has_room(smallest_need_)))
+        return std::nullopt;
+
     for (team_state* it : contending_) {
         if (it->waiting_count() > 0)
             order_.push_back(rank_of(*it));
     }
-    const queued_task* reserved = active_reservation(context, now);
-
     // Usually one of the first teams can start, so a heap is cheaper than sorting all of them.
     const auto later = [](const rank& a, const rank& b) { return b < a; };
     std::make_heap(order_.begin(), order_.end(), later);
@@ -315,19 +338,10 @@
         if (!context.may_start(r.team->id))
             continue;
         const std::optional<entry_list::iterator> found = startable(*r.team, context, reserved);
-        if (!found) {
-            passed_teams_.push_back(r.team);
+        if (!found)
             continue;
-        }
-        // While room is being kept for one task, the others are held back by that and not by their size.
-        if (reserved == nullptr) {
-            const bool can_coexist = static_cast<bool>(context.fits_beside);
-            for (team_state* it : passed_teams_)
-                count_passed_over(*it, can_coexist, now);
-            const entry_list& first = r.team->urgent().empty() ? r.team->normal() : r.team->urgent();
-            if (&**found != &first.front())
-                count_passed_over(*r.team, can_coexist, now);
-        }
+        for (team_state* it : passed_teams_)
+            count_passed_over(*it, static_cast<bool>(context.fits_beside), now);
         return remove(*found);
     }
     return std::nullopt;
@@ -371,6 +385,7 @@
     if (size() >= impl_->limits_.max_queued || t.waiting_count() >= impl_->limits_.max_queued_per_team)
         return tl::unexpected(reason::queue_full);
 
+    impl_->note_need(task.need);
     entry_list& list = t.waiting[static_cast<std::size_t>(task.urgency)];
     list.push_back(entry{.task = task,
                          .sequence = impl_->next_sequence_++,
--- a/src/plugins/scheduling/fair_queue.h
+++ b/src/plugins/scheduling/fair_queue.h
@@ -81,7 +81,9 @@
     /// Removes and returns the request to start next, or nothing when no waiting request may start.
     [[nodiscard]] std::optional<queued_task> pick(const pick_context& context, timestamp now);
 
-    /// Task for which room is being kept, if any.
+    /// Task for which room is being kept, if any. A pick may end a reservation, or grant one after it has
+    /// chosen its task: a picked task need avoid the kept target only when the same task is reserved before
+    /// and after the pick.
     [[nodiscard]] std::optional<queued_task> reserved() const;
     /// The team's part of the shard's capacity now, as a fraction; 0 when it has no work here.
     [[nodiscard]] double entitlement(const team_id& team) const;
--- a/src/plugins/scheduling/placement.cpp
+++ b/src/plugins/scheduling/placement.cpp
@@ -1,6 +1,8 @@
 #include "scheduling/placement.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <limits>
 #include <string_view>
@@ -50,18 +52,22 @@
                                        const resources& need, random_source& random)
 {
     std::unordered_map<std::string_view, rack_load> racks;
+    std::vector<const rack_load*> rack_of;
+    rack_of.reserve(candidates.size());
     for (const placement_candidate& it : candidates) {
         rack_load& rack = racks[it.rack.str()];
+        rack_of.push_back(&rack);
         rack.used += it.reserved;
         rack.capacity += it.capacity;
     }
     const placement_candidate* best = nullptr;
     double best_score = std::numeric_limits<double>::max();
     std::uint64_t equals = 0;
-    for (const placement_candidate& it : candidates) {
+    for (std::size_t n = 0; n < candidates.size(); ++n) {
+        const placement_candidate& it = candidates[n];
         if (!eligible(it) || !has_room(it, need))
             continue;
-        const rack_load& rack = racks[it.rack.str()];
+        const rack_load& rack = *rack_of[n];
         const double score = load_with(it, need) + rack_weight * rack.used.dominant_fraction(rack.capacity) +
                              health_weight * (1.0 - std::min(it.weight, 1.0));
         if (score < best_score - score_tolerance) {
--- a/src/plugins/scheduling/placement.h
+++ b/src/plugins/scheduling/placement.h
@@ -26,7 +26,8 @@
                                                      const resources& need, random_source& random);
 
 /// Target to keep free for a large task (`fair_queue::reserved`): the least loaded one that can hold it
-/// when empty. Nothing when no usable target is large enough.
+/// when empty. Nothing when no usable target is
+/// large enough.
 [[nodiscard]] std::optional<target_id> choose_reservation(const std::vector<placement_candidate>& candidates,
                                                           const resources& need);
 
--- a/src/plugins/scheduling/tests/tst_fair_queue.cpp
+++ b/src/plugins/scheduling/tests/tst_fair_queue.cpp
@@ -337,6 +337,25 @@
     CHECK(received.at(team(1)) > 0.75 * 8.0 * 2400.0);
 }
 
+// Guards against a request being started after its deadline because room was kept for it.
+TEST_CASE("a reserved task whose deadline passes is not started and its reservation ends")
+{
+    shard_model shard{8};
+    const request_id large = shard.add(team(0), priority::normal, 9, 10s);
+    for (int n = 0; n < 20 && !shard.queue.reserved(); ++n) {
+        shard.add(team(1));
+        if (shard.free == 0)
+            shard.finish(0);
+        REQUIRE(shard.pick());
+    }
+    REQUIRE(shard.queue.reserved()->id == large);
+    shard.now += 11s;
+    shard.free = 9;
+    CHECK_FALSE(shard.pick());
+    CHECK_FALSE(shard.queue.reserved());
+    CHECK(shard.queue.expire(shard.now) == std::vector<request_id>{large});
+}
+
 // Guards against cancelled requests being walked over by every later pick.
 TEST_CASE("a wave of cancellations leaves nothing behind")
 {
--- a/src/tools/mjm_bench/demand.cpp
+++ b/src/tools/mjm_bench/demand.cpp
@@ -21,6 +21,15 @@
 constexpr double one_slot_fraction = 0.90;
 constexpr double two_slot_fraction = 0.08;
 
+// Six teams, a few of them large.
+const std::vector<double> small_shares{8, 6, 3, 1, 1, 1};
+
+/// Skewed: the largest team and two small ones ask for more than their shares, the others for less.
+std::vector<double> small_demand(demand_shape shape)
+{
+    return shape == demand_shape::skewed ? std::vector<double>{12, 3, 1.5, 2, 1, 0.5} : small_shares;
+}
+
 double standard_normal(random_source& random)
 {
     const double u = 1.0 - random.uniform01();
@@ -63,35 +72,44 @@
             .slots = slots};
 }
 
-deployment consortium()
+deployment consortium(demand_shape shape)
 {
     return {.name = "consortium",
             .workers_per_shard = {4, 3, 3},
-            .shares = {8, 6, 3, 1, 1, 1},
+            .shares = small_shares,
+            .demand = small_demand(shape),
             .milli_cpu_per_worker = 64 * cores,
             .memory_mib_per_worker = 256 * gib};
 }
 
-deployment pilhas()
+deployment pilhas(demand_shape shape)
 {
     return {.name = "pilhas",
             .workers_per_shard = {3, 3, 2, 2},
-            .shares = {8, 6, 3, 1, 1, 1},
+            .shares = small_shares,
+            .demand = small_demand(shape),
             .milli_cpu_per_worker = 32 * cores,
             .memory_mib_per_worker = 128 * gib};
 }
 
-deployment target_size()
+deployment target_size(demand_shape shape)
 {
     // 530 workers over 5 services and 7 zones: about 15 to a shard.
     deployment d{.name = "target_size",
                  .workers_per_shard = std::vector<std::size_t>(7, 15),
                  .shares = {},
+                 .demand = {},
                  .milli_cpu_per_worker = 64 * cores,
                  .memory_mib_per_worker = 256 * gib};
     constexpr int teams = 52;
-    for (int n = 0; n < teams; ++n)
+    // Skewed: every fourth team asks for three times its share, the others for correspondingly less.
+    constexpr double greedy_factor = 3.0;
+    constexpr double modest_factor = 1.0 / 3.0;
+    for (int n = 0; n < teams; ++n) {
         d.shares.push_back(n < 4 ? 12.0 : (n < 16 ? 4.0 : 1.0));
+        const double factor = n % 4 == 0 ? greedy_factor : modest_factor;
+        d.demand.push_back(d.shares.back() * (shape == demand_shape::skewed ? factor : 1.0));
+    }
     return d;
 }
 
@@ -99,7 +117,7 @@
                                    std::uint64_t seed)
 {
     seeded_random random{seed};
-    const double weights = std::accumulate(where.shares.begin(), where.shares.end(), 0.0);
+    const double weights = std::accumulate(where.demand.begin(), where.demand.end(), 0.0);
     const double mean_slots =
         one_slot_fraction + 2.0 * two_slot_fraction +
         (1.0 - one_slot_fraction - two_slot_fraction) * static_cast<double>(where.slots_per_worker);
@@ -111,7 +129,7 @@
 
     std::vector<arrival> arrivals;
     for (std::size_t team = 0; team < where.shares.size(); ++team) {
-        const double highest_rate = mean_rate * where.shares[team] / weights * highest_factor;
+        const double highest_rate = mean_rate * where.demand[team] / weights * highest_factor;
         const double phase = random.uniform01() * 2.0 * team_phase_s;
         // Thinning of a Poisson process at the highest rate.
         for (double t = 0.0;;) {
--- a/src/tools/mjm_bench/demand.h
+++ b/src/tools/mjm_bench/demand.h
@@ -16,6 +16,7 @@
     std::string name;
     std::vector<std::size_t> workers_per_shard; ///< One shard for each zone.
     std::vector<double> shares;                 ///< One for each team.
+    std::vector<double> demand; ///< Each team's part of the offered work, in the order of the shares.
     std::int64_t slots_per_worker = 8;
     std::int64_t milli_cpu_per_worker = 0;
     std::int64_t memory_mib_per_worker = 0;
@@ -26,9 +27,12 @@
     [[nodiscard]] resources need(std::int64_t slots) const;
 };
 
-[[nodiscard]] deployment consortium();
-[[nodiscard]] deployment pilhas();
-[[nodiscard]] deployment target_size();
+/// How the teams' demand relates to their shares.
+enum class demand_shape { proportional, skewed };
+
+[[nodiscard]] deployment consortium(demand_shape shape);
+[[nodiscard]] deployment pilhas(demand_shape shape);
+[[nodiscard]] deployment target_size(demand_shape shape);
 
 struct demand_settings {
     duration length{std::chrono::minutes{30}};
--- a/src/tools/mjm_bench/share_simulation.cpp
+++ b/src/tools/mjm_bench/share_simulation.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <numeric>
 #include <optional>
 #include <queue>
 #include <string>
@@ -16,6 +17,7 @@
 
 constexpr duration gossip_interval{std::chrono::milliseconds{500}};
 constexpr duration expiry_interval{std::chrono::milliseconds{100}};
+constexpr duration account_window{std::chrono::seconds{1}};
 constexpr std::size_t workers_per_rack = 4;
 
 double seconds(duration d)
@@ -100,6 +102,7 @@
     void arrive(std::size_t request);
     void finish(const completion& done);
     void start_all(std::size_t n);
+    void record_delay(std::size_t request, double delay_s);
     void update_reservation(shard& s) const;
     void start(std::size_t n, const queued_task& task);
     void expire();
@@ -254,7 +257,9 @@
     const std::size_t request = std::stoul(task.id.str());
     const arrival& a = demand_[request];
     std::vector<placement_candidate> candidates = s.workers;
-    if (s.held && s.held_for != task.id) {
+    // The pick may have ended the reservation, or granted one after it had chosen this task.
+    const std::optional<queued_task> reserved = s.queue->reserved();
+    if (s.held && reserved && s.held_for == reserved->id) {
         for (placement_candidate& it : candidates)
             it.usable = it.id != *s.held;
     }
@@ -269,15 +274,26 @@
     running_.push({now_ + a.run, n, worker, request});
 
     ++result_.started;
-    const double delay = seconds(now_ - task.enqueued);
-    if (a.urgency == priority::urgent) {
+    if (a.urgency == priority::urgent)
         s.urgent_waiting[a.team] -= a.slots;
-        result_.urgent_delay_s.push_back(delay);
+    record_delay(request, seconds(now_ - task.enqueued));
+}
+
+void simulation::record_delay(std::size_t request, double delay_s)
+{
+    const arrival& a = demand_[request];
+    const bool large = a.slots == where_.slots_per_worker;
+    if (large)
+        result_.large_delay_s.push_back(delay_s);
+    if (a.urgency == priority::urgent) {
+        result_.urgent_delay_s.push_back(delay_s);
+        if (!large)
+            result_.urgent_small_delay_s.push_back(delay_s);
         if (within_[request])
-            result_.urgent_within_delay_s.push_back(delay);
+            result_.urgent_within_delay_s.push_back(delay_s);
+    } else if (!large) {
+        result_.normal_delay_s.push_back(delay_s);
     }
-    if (a.slots == where_.slots_per_worker)
-        result_.large_delay_s.push_back(delay);
 }
 
 void simulation::expire()
@@ -290,14 +306,9 @@
             ++result_.expired;
             s.waiting[a.team] -= a.slots;
             account_.change(a.team, 0.0, -static_cast<double>(a.slots), now_);
-            if (a.urgency == priority::urgent) {
+            if (a.urgency == priority::urgent)
                 s.urgent_waiting[a.team] -= a.slots;
-                result_.urgent_delay_s.push_back(seconds(settings_.timeout));
-                if (within_[request])
-                    result_.urgent_within_delay_s.push_back(seconds(settings_.timeout));
-            }
-            if (a.slots == where_.slots_per_worker)
-                result_.large_delay_s.push_back(seconds(settings_.timeout));
+            record_delay(request, seconds(settings_.timeout));
         }
         start_all(n);
     }
@@ -323,42 +334,34 @@
 {
     const auto capacity = static_cast<double>(where_.total_slots());
     const std::size_t teams = teams_.size();
-    const duration window = measured_horizons.front();
     double busy_got = 0.0;
     double busy_capacity = 0.0;
+    std::vector<std::vector<double>> fair_windows;
     for (std::size_t n = 0; n < account_.got_windows.size(); ++n) {
-        double got = 0.0;
-        double wanted = 0.0;
-        for (std::size_t team = 0; team < teams; ++team) {
-            got += account_.got_windows[n][team];
-            wanted += account_.wanted_windows[n][team];
-        }
-        if (wanted >= capacity * seconds(window)) {
-            busy_got += got;
-            busy_capacity += capacity * seconds(window);
+        const std::vector<double>& got = account_.got_windows[n];
+        const std::vector<double>& wanted = account_.wanted_windows[n];
+        const double sum = std::accumulate(got.begin(), got.end(), 0.0);
+        fair_windows.push_back(max_min_fair(wanted, where_.shares, sum));
+        if (std::accumulate(wanted.begin(), wanted.end(), 0.0) >= capacity * seconds(account_window)) {
+            busy_got += sum;
+            busy_capacity += capacity * seconds(account_window);
         }
     }
     result_.utilisation = busy_capacity > 0.0 ? busy_got / busy_capacity : 0.0;
 
     for (std::size_t h = 0; h < measured_horizons.size(); ++h) {
-        const auto merged = static_cast<std::size_t>(measured_horizons[h] / window);
+        const auto merged = static_cast<std::size_t>(measured_horizons[h] / account_window);
         double misplaced = 0.0;
         double delivered = 0.0;
-        for (std::size_t first = 0; first + merged <= account_.got_windows.size(); first += merged) {
-            std::vector<double> got(teams, 0.0);
-            std::vector<double> wanted(teams, 0.0);
-            double sum = 0.0;
-            for (std::size_t n = first; n < first + merged; ++n) {
-                for (std::size_t team = 0; team < teams; ++team) {
-                    got[team] += account_.got_windows[n][team];
-                    wanted[team] += account_.wanted_windows[n][team];
-                    sum += account_.got_windows[n][team];
+        for (std::size_t first = 0; first + merged <= fair_windows.size(); first += merged) {
+            for (std::size_t team = 0; team < teams; ++team) {
+                double owed = 0.0;
+                for (std::size_t n = first; n < first + merged; ++n) {
+                    owed += fair_windows[n][team] - account_.got_windows[n][team];
+                    delivered += account_.got_windows[n][team];
                 }
+                misplaced += std::max(0.0, owed);
             }
-            const std::vector<double> fair = max_min_fair(wanted, where_.shares, sum);
-            for (std::size_t team = 0; team < teams; ++team)
-                misplaced += std::max(0.0, fair[team] - got[team]);
-            delivered += sum;
         }
         result_.distance[h] = delivered > 0.0 ? misplaced / delivered : 0.0;
     }
@@ -369,7 +372,7 @@
     const timestamp end = timestamp{} + settings_.length;
     timestamp next_gossip = timestamp{} + gossip_interval;
     timestamp next_expiry = timestamp{} + expiry_interval;
-    timestamp next_window = timestamp{} + measured_horizons.front();
+    timestamp next_window = timestamp{} + account_window;
     for (std::size_t request = 0;;) {
         const timestamp next_arrival = request < demand_.size() ? demand_[request].at : timestamp::max();
         const timestamp next_end = running_.empty() ? timestamp::max() : running_.top().at;
@@ -378,7 +381,7 @@
             break;
         if (now_ == next_window) {
             account_.close_window(now_);
-            next_window += measured_horizons.front();
+            next_window += account_window;
         } else if (now_ == next_end) {
             const completion done = running_.top();
             running_.pop();
--- a/src/tools/mjm_bench/shares_benchmark.cpp
+++ b/src/tools/mjm_bench/shares_benchmark.cpp
@@ -28,6 +28,7 @@
         app.add_option("--minutes", minutes_, "Virtual time per run")->check(CLI::Range(10, 1440));
         app.add_option("--load", load_, "Mean offered work as a part of the capacity")
             ->check(CLI::Range(0.01, 2.0));
+        app.add_flag("--skewed", skewed_, "Demand that differs from the shares instead of following them");
         app.add_option("--deployment", only_, "Run only this deployment");
     }
     [[nodiscard]] nlohmann::json run() override;
@@ -37,6 +38,7 @@
     int seeds_ = 5;
     int minutes_ = 30;
     double load_ = demand_settings{}.mean_load;
+    bool skewed_ = false;
     std::string only_;
 };
 
@@ -62,7 +64,8 @@
     settings.length = std::chrono::minutes{minutes_};
     settings.mean_load = load_;
     nlohmann::json rows = nlohmann::json::array();
-    for (const deployment& where : {consortium(), pilhas(), target_size()}) {
+    const demand_shape shape = skewed_ ? demand_shape::skewed : demand_shape::proportional;
+    for (const deployment& where : {consortium(shape), pilhas(shape), target_size(shape)}) {
         if (!only_.empty() && only_ != where.name)
             continue;
         std::vector<std::vector<arrival>> demands;
@@ -77,9 +80,12 @@
                 measures["distance_10min"].push_back(r.distance[2]);
                 measures["utilisation"].push_back(r.utilisation);
                 add_delays(measures, "urgent", r.urgent_delay_s);
+                add_delays(measures, "urgent_small", r.urgent_small_delay_s);
+                add_delays(measures, "normal", r.normal_delay_s);
                 add_delays(measures, "urgent_within", r.urgent_within_delay_s);
                 add_delays(measures, "large", r.large_delay_s);
                 measures["urgent_late"].push_back(part_above(r.urgent_delay_s, urgent_target_s));
+                measures["urgent_small_late"].push_back(part_above(r.urgent_small_delay_s, urgent_target_s));
                 measures["urgent_within_late"].push_back(
                     part_above(r.urgent_within_delay_s, urgent_target_s));
                 measures["started"].push_back(static_cast<double>(r.started));
@@ -92,13 +98,14 @@
             rows.push_back(std::move(row));
         }
     }
-    return {{"seeds", seeds_}, {"minutes", minutes_}, {"load", load_}, {"rows", rows}};
+    return {{"seeds", seeds_}, {"minutes", minutes_}, {"load", load_}, {"skewed", skewed_}, {"rows", rows}};
 }
 
 void shares_benchmark::print(const nlohmann::json& result, std::ostream& out) const
 {
     out << "virtual time, " << result["seeds"] << " seeds, " << result["minutes"] << " min each, mean load "
-        << result["load"] << "; mean over seeds, (largest - smallest)\n"
+        << result["load"] << (result["skewed"].get<bool>() ? ", demand skewed against shares" : "")
+        << "; mean over seeds, (largest - smallest)\n"
         << "distance: part of the delivered slot time not given as weighted max-min fair; late: over "
         << urgent_target_s << " s\n";
     constexpr int name_width = 22;
@@ -112,13 +119,17 @@
                                          "urgent_p99_s",
                                          "urgent_worst_s",
                                          "urgent_late",
+                                         "urgent_small_p99_s",
+                                         "urgent_small_worst_s",
+                                         "urgent_small_late",
                                          "urgent_within_median_s",
                                          "urgent_within_p99_s",
                                          "urgent_within_worst_s",
                                          "urgent_within_late",
+                                         "normal_median_s",
+                                         "normal_p99_s",
                                          "large_median_s",
                                          "large_p99_s",
-                                         "large_worst_s",
                                          "started",
                                          "expired",
                                          "refused"};
--- a/src/tools/mjm_bench/tests/tst_bench.cpp
+++ b/src/tools/mjm_bench/tests/tst_bench.cpp
@@ -28,7 +28,7 @@
 // Guards against demand that does not have the stated mean or that differs between replays.
 TEST_CASE("recorded demand offers the stated load and repeats for its seed")
 {
-    const deployment where = consortium();
+    const deployment where = consortium(demand_shape::proportional);
     const demand_settings settings;
     const std::vector<arrival> demand = record_demand(where, settings, 3);
     double offered = 0.0;
@@ -42,7 +42,7 @@
 // Guards against requests lost in the simulation, which would flatter a discipline.
 TEST_CASE("the simulation accounts for every arrival under each discipline")
 {
-    const deployment where = pilhas();
+    const deployment where = pilhas(demand_shape::skewed);
     demand_settings settings;
     settings.length = std::chrono::minutes{10};
     std::vector<arrival> demand = record_demand(where, settings, 2);
