--- a/src/plugins/scheduling/tests/tst_fair_queue.cpp
+++ b/src/plugins/scheduling/tests/tst_fair_queue.cpp
@@ -39,7 +39,7 @@
     request_id add(const team_id& t, priority urgency = priority::normal, std::int64_t need = 1,
                    duration deadline = 1h)
     {
-        const request_id id{"r" + std::to_string(next++)};
+        request_id id{"r" + std::to_string(next++)};
         const bool added = queue
                                .enqueue({.id = id,
                                          .team = t,
@@ -361,6 +361,7 @@
 {
     shard_model shard{1, {.max_queued = 20000, .max_queued_per_team = 20000}};
     std::vector<request_id> ids;
+    ids.reserve(10000);
     for (int n = 0; n < 10000; ++n)
         ids.push_back(shard.add(team(0)));
     const request_id last = shard.add(team(0));
--- a/src/plugins/scheduling/tests/tst_placement.cpp
+++ b/src/plugins/scheduling/tests/tst_placement.cpp
@@ -41,6 +41,7 @@
 {
     seeded_random random{2};
     std::vector<placement_candidate> targets;
+    targets.reserve(8);
     for (int n = 0; n < 8; ++n)
         targets.push_back(target(n, n / 4));
     for (int n = 0; n < 32; ++n) {
--- a/src/tools/mjm_bench/benchmark.h
+++ b/src/tools/mjm_bench/benchmark.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+// NOLINTNEXTLINE(readability-identifier-naming): the library's own name
 namespace CLI {
 class App;
 } // namespace CLI
--- a/src/tools/mjm_bench/disciplines.cpp
+++ b/src/tools/mjm_bench/disciplines.cpp
@@ -159,7 +159,8 @@
     }
     std::optional<queued_task> pick(const pick_context& context, timestamp now) override
     {
-        for (auto& [team, t] : teams_) {
+        for (auto& it : teams_) {
+            team_part& t = it.second;
             const auto fits = [&](const queued_task& task) {
                 const double after = (t.used + task.need).dominant_fraction(capacity_);
                 return (after <= t.part + 1e-9 || t.used.slots == 0) && context.fits(task);
