--- a/src/plugins/scheduling/tests/tst_fair_queue.cpp
+++ b/src/plugins/scheduling/tests/tst_fair_queue.cpp
@@ -39,7 +39,7 @@
     request_id add(const team_id& t, priority urgency = priority::normal, std::int64_t need = 1,
                    duration deadline = 1h)
     {
-        const request_id id{"r" + std::to_string(next++)};
+        request_id id{"r" + std::to_string(next++)};
         const bool added = queue
                                .enqueue({.id = id,
                                          .team = t,
@@ -337,11 +337,31 @@
     CHECK(received.at(team(1)) > 0.75 * 8.0 * 2400.0);
 }
 
+// Guards against a request being started after its deadline because room was kept for it.
+TEST_CASE("a reserved task whose deadline passes is not started and its reservation ends")
+{
+    shard_model shard{8};
+    const request_id large = shard.add(team(0), priority::normal, 9, 10s);
+    for (int n = 0; n < 20 && !shard.queue.reserved(); ++n) {
+        shard.add(team(1));
+        if (shard.free == 0)
+            shard.finish(0);
+        REQUIRE(shard.pick());
+    }
+    REQUIRE(shard.queue.reserved()->id == large);
+    shard.now += 11s;
+    shard.free = 9;
+    CHECK_FALSE(shard.pick());
+    CHECK_FALSE(shard.queue.reserved());
+    CHECK(shard.queue.expire(shard.now) == std::vector<request_id>{large});
+}
+
 // Guards against cancelled requests being walked over by every later pick.
 TEST_CASE("a wave of cancellations leaves nothing behind")
 {
     shard_model shard{1, {.max_queued = 20000, .max_queued_per_team = 20000}};
     std::vector<request_id> ids;
+    ids.reserve(10000);
     for (int n = 0; n < 10000; ++n)
         ids.push_back(shard.add(team(0)));
     const request_id last = shard.add(team(0));
