--- a/src/plugins/permits/tests/tst_permit_document.cpp
+++ b/src/plugins/permits/tests/tst_permit_document.cpp
@@ -73,3 +73,18 @@
         REQUIRE(given == std::min<std::int64_t>(sum, total));
     }
 }
+
+TEST_CASE("a raised limit does not raise a cap that makes room only by a lower cap not read elsewhere")
+{
+    permit_document document;
+    document.grants[shard(1)] = {30, 1};
+    document.grants[shard(2)] = {15, 1};
+    document.set_limit(20, 2);
+    const std::int64_t first = document.usable_by(shard(1));
+    const std::int64_t second = document.usable_by(shard(2));
+    document.set_limit(25, 3);
+    CHECK(document.usable_by(shard(1)) <= first);
+    CHECK(document.usable_by(shard(2)) <= second);
+    document.set_limit(45, 4);
+    CHECK(document.caps.empty());
+}
