--- a/src/plugins/membership/tests/tst_membership_agent.cpp
+++ b/src/plugins/membership/tests/tst_membership_agent.cpp
@@ -98,10 +98,11 @@
     member_fleet fleet{4, 1};
     fleet.start("h1");
     REQUIRE(fleet.steps_until([&] { return fleet.settled(); }, 20 * second));
-    const auto [shard, epoch] = *fleet.processes[0]->agent->owned().begin();
+    const std::pair<const shard_id, shard_epoch> own = *fleet.processes[0]->agent->owned().begin();
     std::vector<bool> answers;
     const auto ask = [&] {
-        fleet.processes[0]->agent->confirm_epoch(shard, epoch, [&](bool it) { answers.push_back(it); });
+        fleet.processes[0]->agent->confirm_epoch(own.first, own.second,
+                                                 [&](bool it) { answers.push_back(it); });
         CHECK(answers.size() < 2);
         fleet.run(std::chrono::seconds{2});
     };
--- a/src/plugins/permits/bench/permit_benchmark.cpp
+++ b/src/plugins/permits/bench/permit_benchmark.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr duration step_time{std::chrono::milliseconds{200}};
 constexpr double step_s = 0.2;
 constexpr double task_s = 2.0;
 constexpr double period_s = 300.0;
@@ -71,10 +70,12 @@
     void step_team(lane& it, int team, const Held& held);
     [[nodiscard]] permit_benchmark_result result_of(const lane& it) const;
     [[nodiscard]] permit_agent_counters counters() const;
-    queue_state& queue(lane& it, int shard, int team) const
+    [[nodiscard]] std::size_t index(int shard, int team) const
     {
-        return it.queues[static_cast<std::size_t>(shard * config_.teams + team)];
+        return static_cast<std::size_t>(shard) * static_cast<std::size_t>(config_.teams) +
+               static_cast<std::size_t>(team);
     }
+    queue_state& queue(lane& it, int shard, int team) const { return it.queues[index(shard, team)]; }
 
     permit_benchmark_case config_;
     simulated_store store_;
@@ -97,7 +98,7 @@
                                                               (config.shards * config.teams)},
       limit_{static_cast<std::int64_t>(std::ceil(mean_ * config.shards * config.limit_ratio))}
 {
-    const auto size = static_cast<std::size_t>(config.shards * config.teams);
+    const std::size_t size = index(config.shards, 0);
     for (lane* it : {&agent_lane_, &static_lane_, &ideal_lane_})
         it->queues.resize(size);
     arrivals_.resize(size);
@@ -139,7 +140,7 @@
     }
     for (int n = 0; n < config_.shards; ++n) {
         queue_state& state = queue(it, n, team);
-        state.waiting += arrivals_[static_cast<std::size_t>(n * config_.teams + team)];
+        state.waiting += arrivals_[index(n, team)];
         state.waiting = std::min(state.waiting, static_cast<std::int64_t>(std::ceil(max_waiting * mean_)));
         const std::int64_t start = std::clamp<std::int64_t>(held(n) - state.running, 0, state.waiting);
         state.running += start;
@@ -163,7 +164,7 @@
     for (int n = 0; n < config_.shards; ++n) {
         const double rate = demand(n) * step_s / task_s;
         for (int team = 0; team < config_.teams; ++team)
-            arrivals_[static_cast<std::size_t>(n * config_.teams + team)] = poisson(random_, rate);
+            arrivals_[index(n, team)] = poisson(random_, rate);
     }
     for (int team = 0; team < config_.teams; ++team) {
         const team_id& name = teams_[static_cast<std::size_t>(team)];
--- a/src/plugins/permits/permit_agent.cpp
+++ b/src/plugins/permits/permit_agent.cpp
@@ -13,6 +13,8 @@
 // A team in which nothing waits here is read less often. With a factor of 2 a holder of idle permits learns
 // of a waiting shard early enough for urgent work to start within 4.2 s.
 constexpr int quiet_poll_factor = 2;
+// A write is planned only on a view at most a quarter of a poll old, as older ones mostly meet a conflict.
+constexpr int write_freshness_divisor = 4;
 // Bounds the wait after conflicts in a row to 4 poll intervals.
 constexpr unsigned max_conflict_doublings = 5;
 
@@ -186,7 +188,7 @@
         const std::optional<permit_document> next = entry->second.state.plan(now_);
         if (!next)
             continue;
-        if (now_ - *entry->second.state.read_at() > settings_.poll_interval) {
+        if (now_ - *entry->second.state.read_at() > settings_.poll_interval / write_freshness_divisor) {
             // A conditional read costs less than a write that meets a conflict.
             entry->second.read_first = true;
             entry->second.next_read = now_;
--- a/src/plugins/permits/tests/tst_permit_agent.cpp
+++ b/src/plugins/permits/tests/tst_permit_agent.cpp
@@ -218,8 +218,8 @@
         limits[team_id{"t" + std::to_string(n)}] = 10;
     agent.set_limits(limits, 1);
     timestamp now{std::chrono::hours{1}};
-    const int seconds = 30;
-    for (int n = 0; n < seconds * 20; ++n) {
+    const std::uint64_t seconds = 30;
+    for (std::uint64_t n = 0; n < seconds * 20; ++n) {
         now += permit_fleet::step_time;
         store.advance(now);
         for (const auto& [team, limit] : limits)
