Run pending closes when the I/O runtime is destroyed

Cause: the address sanitizer reported leaked connections: a server or client destroyed right before its runtime posts the closing of its connections, which was not run, so that connections and their owners kept each other alive. Change: the destructor of io_runtime runs what is ready after joining the thread.

--- a/src/libs/net/io_runtime.cpp
+++ b/src/libs/net/io_runtime.cpp
@@ -21,6 +21,10 @@
 io_runtime::~io_runtime()
 {
     stop();
+    // Servers and clients that were destroyed shortly before have posted the closing of their connections.
+    // Without it, connections and their owners would keep each other alive.
+    impl_->context_.restart();
+    impl_->context_.poll();
 }
 
 void io_runtime::start()
--- a/src/libs/net/io_runtime.h
+++ b/src/libs/net/io_runtime.h
@@ -12,7 +12,8 @@
 class io_runtime {
 public:
     io_runtime();
-    /// Stops the loop and joins the thread.
+    /// Stops the loop, joins the thread, and runs what is ready on the calling thread, so that callbacks of
+    /// clients destroyed before are not lost. Servers and clients must be destroyed first.
     ~io_runtime();
     io_runtime(const io_runtime&) = delete;
     io_runtime& operator=(const io_runtime&) = delete;
--- a/src/libs/platform/http_host_list.h
+++ b/src/libs/platform/http_host_list.h
@@ -5,7 +5,8 @@
 
 namespace mjm {
 
-/// The platform's host list over HTTP. Callbacks run on `callbacks`.
+/// The platform's host list over HTTP. Callbacks run on `callbacks`, which must
+/// outlive the client's `io_runtime`.
 class http_host_list final : public host_list {
 public:
     http_host_list(http_client& client, executor& callbacks, platform_endpoint service);
--- a/src/libs/platform/http_kv_store.h
+++ b/src/libs/platform/http_kv_store.h
@@ -14,7 +14,8 @@
     duration timeout{std::chrono::seconds{2}};
 };
 
-/// The platform's key-value service over HTTP. Callbacks run on `callbacks`.
+/// The platform's key-value service over HTTP. Callbacks run on `callbacks`, which must
+/// outlive the client's `io_runtime`.
 class http_kv_store final : public kv_store {
 public:
     http_kv_store(http_client& client, executor& callbacks, platform_endpoint service);
--- a/src/libs/platform/http_peer_client.h
+++ b/src/libs/platform/http_peer_client.h
@@ -12,7 +12,8 @@
     duration forward_timeout{std::chrono::minutes{5}};
 };
 
-/// Calls to other entry hosts over HTTP with CBOR bodies. Callbacks run on `callbacks`.
+/// Calls to other entry hosts over HTTP with CBOR bodies. Callbacks run on `callbacks`, which must
+/// outlive the client's `io_runtime`.
 class http_peer_client final : public peer_client {
 public:
     http_peer_client(http_client& client, executor& callbacks, const http_peer_client_settings& settings);
--- a/src/libs/platform/http_target_client.h
+++ b/src/libs/platform/http_target_client.h
@@ -15,7 +15,8 @@
     duration task_timeout{std::chrono::minutes{5}};
 };
 
-/// Calls to targets over HTTP. Callbacks run on `callbacks`. A result is passed on only when its task,
+/// Calls to targets over HTTP. Callbacks run on `callbacks`, which must
+/// outlive the client's `io_runtime`. A result is passed on only when its task,
 /// length and digest match.
 class http_target_client final : public target_client {
 public:
