--- a/src/plugins/configuration/config_commit.cpp
+++ b/src/plugins/configuration/config_commit.cpp
@@ -178,19 +178,19 @@
         } else if (encode_proposal(change).size() > settings_.max_value) {
             refusal.reason = commit_errc::too_large;
         } else {
-            read_proposal(change, std::move(done), true);
+            read_proposal(change, done, true);
             return;
         }
         // Callbacks never run from within the call.
         retries_.emplace_back(now_, [done = std::move(done), refusal] { done(tl::unexpected{refusal}); });
     }
 
-    void history(std::size_t limit, history_callback done)
+    void history(std::size_t limit, const history_callback& done)
     {
-        read_history(std::string{config_head_key}, limit, {}, std::move(done));
+        read_history(std::string{config_head_key}, limit, {}, done);
     }
 
-    void open_proposals(proposals_callback done)
+    void open_proposals(const proposals_callback& done)
     {
         store_.list(std::string{proposal_prefix},
                     bind([done](impl& self, tl::expected<std::vector<kv_entry>, store_errc> listed) {
@@ -237,7 +237,7 @@
     void load_head(const operation_ptr& op)
     {
         store_.get(std::string{config_head_key}, 0,
-                   bind([op](impl& self, tl::expected<kv_read, store_errc> answer) {
+                   bind([op](impl& self, const tl::expected<kv_read, store_errc>& answer) {
                        self.head_loaded(op, answer);
                    }));
     }
@@ -577,7 +577,7 @@
 
     // --- proposals and history ---------------------------------------------------------------------
 
-    void read_proposal(const proposal& change, propose_callback done, bool may_create)
+    void read_proposal(const proposal& change, const propose_callback& done, bool may_create)
     {
         store_.get(proposal_key(change.id), 0,
                    bind([change, done, may_create](impl& self, tl::expected<kv_read, store_errc> answer) {
@@ -595,7 +595,7 @@
                    }));
     }
 
-    void check_new_proposal(const proposal& change, propose_callback done)
+    void check_new_proposal(const proposal& change, const propose_callback& done)
     {
         const operation_ptr op = std::make_shared<operation>();
         op->kind = operation_kind::propose;
@@ -616,7 +616,7 @@
         load_head(op);
     }
 
-    void create_proposal(const proposal& change, propose_callback done)
+    void create_proposal(const proposal& change, const propose_callback& done)
     {
         store_.put(kv_write{proposal_key(change.id), encode_proposal(change), 0, 0},
                    bind([change, done](impl& self, tl::expected<store_revision, store_errc> answer) {
@@ -631,7 +631,7 @@
     }
 
     void read_history(const std::string& key, std::size_t limit, std::vector<config_decision> found,
-                      history_callback done)
+                      const history_callback& done)
     {
         store_.get(
             key, 0,
@@ -795,12 +795,12 @@
 
 void config_commit::history(std::size_t limit, history_callback done)
 {
-    impl_->history(limit, std::move(done));
+    impl_->history(limit, done);
 }
 
 void config_commit::open_proposals(proposals_callback done)
 {
-    impl_->open_proposals(std::move(done));
+    impl_->open_proposals(done);
 }
 
 void config_commit::on_commit(commit_callback callback)
--- a/src/plugins/configuration/config_patch.cpp
+++ b/src/plugins/configuration/config_patch.cpp
@@ -82,8 +82,7 @@
     if (operations.empty())
         return failure(config_rule::patch_syntax, "", "a patch must contain an operation");
     for (std::size_t i = 0; i < operations.size(); ++i) {
-        const tl::expected<void, config_error> checked =
-            check_operation(operations[i], "/" + std::to_string(i));
+        tl::expected<void, config_error> checked = check_operation(operations[i], "/" + std::to_string(i));
         if (!checked)
             return checked;
     }
--- a/src/plugins/configuration/tests/test_store.h
+++ b/src/plugins/configuration/tests/test_store.h
@@ -133,7 +133,7 @@
             answer(timeout, tl::unexpected{store_errc::timed_out});
             return;
         }
-        loop_.after(request, [this, what, answer, effect, timeout] {
+        loop_.after(request, [what, answer, effect, timeout] {
             const tl::expected<T, store_errc> result = effect();
             if (what == fault::lost_after)
                 answer(timeout, tl::unexpected{store_errc::timed_out});
--- a/src/plugins/configuration/tests/tst_config_random.cpp
+++ b/src/plugins/configuration/tests/tst_config_random.cpp
@@ -38,7 +38,7 @@
     void tick();
     void answer_status(host& from, timestamp asked, std::uint64_t version);
     void resume();
-    void submit(const std::string& id, std::uint64_t base, const std::string& patch);
+    void submit(const std::string& name, std::uint64_t base, const std::string& patch);
     void check_keys();
 
     fleet& all;
