Keep a floor of idle permits at each shard that has used a team

Change: idle shards keep half the limit divided by the number of shards; the demand told to the permit agent includes slots of targets not yet fenced.

--- a/src/plugins/permits/team_permits.cpp
+++ b/src/plugins/permits/team_permits.cpp
@@ -188,6 +188,14 @@
     }
 }
 
+std::int64_t team_permits::idle_floor() const
+{
+    // A store outage must not find a shard without any permit when nobody else had asked for them.
+    constexpr std::int64_t floor_divisor = 2;
+    const std::int64_t shards = static_cast<std::int64_t>(std::max<std::size_t>(1, document_.grants.size()));
+    return document_.limit / (floor_divisor * shards);
+}
+
 void team_permits::adjust_count(permit_document& next, timestamp now)
 {
     const std::int64_t count = next.count_of(shard_);
@@ -221,7 +229,7 @@
         if (!surplus_since_)
             surplus_since_ = now;
         if (now - *surplus_since_ >= settings_.idle_return_delay)
-            keep = std::min(keep, wish);
+            keep = std::min(keep, std::max(wish, idle_floor()));
     } else {
         surplus_since_.reset();
     }
--- a/src/plugins/permits/team_permits.h
+++ b/src/plugins/permits/team_permits.h
@@ -71,6 +71,8 @@
     [[nodiscard]] bool others_starve() const;
     /// Part of the limit that is due to this shard when not all needs can be met.
     [[nodiscard]] std::int64_t fair_part() const;
+    /// Permits that an idle shard keeps while no other shard needs them.
+    [[nodiscard]] std::int64_t idle_floor() const;
     void watch_waiters(timestamp now);
     void adjust_count(permit_document& next, timestamp now);
     void adjust_wanted(permit_document& next) const;
--- a/src/plugins/permits/tests/tst_permit_agent.cpp
+++ b/src/plugins/permits/tests/tst_permit_agent.cpp
@@ -52,17 +52,18 @@
     require_sound(fleet);
 }
 
-TEST_CASE("surplus is kept for the idle return delay and then given back")
+TEST_CASE("surplus is kept for the idle return delay and then given back down to the idle floor")
 {
     permit_fleet fleet{3, 2, 20};
-    fleet.shards[0].wanted = 10;
+    fleet.shards[0].wanted = 16;
     fleet.shards[0].end_chance = 1.0;
-    REQUIRE(fleet.steps_until([&] { return fleet.held(0) >= 10; }, settle_steps));
+    REQUIRE(fleet.steps_until([&] { return fleet.held(0) >= 16; }, settle_steps));
     fleet.shards[0].wanted = 0;
     fleet.run(std::chrono::seconds{4});
-    CHECK(fleet.held(0) >= 10);
+    CHECK(fleet.held(0) >= 16);
     fleet.run(std::chrono::seconds{5});
-    CHECK(fleet.held(0) == 0);
+    // Half of the limit, divided by the number of shards that have used the team's permits.
+    CHECK(fleet.held(0) == 10);
     require_sound(fleet);
 }
 
--- a/src/plugins/shard/shard_owner.cpp
+++ b/src/plugins/shard/shard_owner.cpp
@@ -685,8 +685,10 @@
 
 void shard_owner::update_demand()
 {
+    // Any team may still have tasks of an earlier owner on a target that has not been fenced.
+    const std::int64_t unfenced = targets_.unfenced_slots();
     for (const team_id& team : known_teams_) {
-        const std::int64_t in_use = tasks_.in_use(team);
+        const std::int64_t in_use = tasks_.in_use(team) + unfenced;
         env_.permits.set_demand(team, in_use + static_cast<std::int64_t>(queue_.size(team)), in_use);
     }
 }
