Route around a shard that has no permits while the store is down

Change: such a shard refuses at once with no_permit, not run; the front tries another zone and avoids the shard for the team for 2 s.

--- a/src/libs/core/task_types.cpp
+++ b/src/libs/core/task_types.cpp
@@ -23,6 +23,7 @@
     case reason::ticket_required:
         return 428;
     case reason::queue_full:
+    case reason::no_permit:
     case reason::retry_budget:
         return 429;
     case reason::deadline:
--- a/src/libs/core/task_types.h
+++ b/src/libs/core/task_types.h
@@ -58,6 +58,7 @@
     deadline,           ///< The deadline passed before the request was started.
     never_runnable,     ///< No target of the service can ever hold the declared size.
     no_capacity,        ///< The service has no usable target now.
+    no_permit,          ///< The shard has none of the team's permits and cannot get any now.
     retry_budget,       ///< A retry would have been safe, but the retry budget was used up.
     failing_everywhere, ///< Failed on several targets.
     target_lost,        ///< The target was lost while the task may have been running.
@@ -72,7 +73,7 @@
 
 template <>
 struct enum_names<reason> {
-    static constexpr std::array<std::pair<reason, std::string_view>, 25> entries{{
+    static constexpr std::array<std::pair<reason, std::string_view>, 26> entries{{
         {reason::none, "none"},
         {reason::bad_request, "bad_request"},
         {reason::key_missing, "key_missing"},
@@ -88,6 +89,7 @@
         {reason::deadline, "deadline"},
         {reason::never_runnable, "never_runnable"},
         {reason::no_capacity, "no_capacity"},
+        {reason::no_permit, "no_permit"},
         {reason::retry_budget, "retry_budget"},
         {reason::failing_everywhere, "failing_everywhere"},
         {reason::target_lost, "target_lost"},
--- a/src/plugins/entry/entry_node.cpp
+++ b/src/plugins/entry/entry_node.cpp
@@ -95,8 +95,8 @@
     };
     std::unique_ptr<owned_shard> owned = std::make_unique<owned_shard>(
         shard, epoch, services_.store, services_.time, services_.random, services_.targets, confirm,
-        [this](const shard_event_record& event) { record_shard_event(event); }, settings_.permits,
-        settings_.shards);
+        [this](const shard_event_record& event) { record_shard_event(event); },
+        [this] { return store_reachable(); }, settings_.permits, settings_.shards);
     if (replica_.current())
         owned->configure(*replica_.current());
     owned_.emplace(shard, std::move(owned));
--- a/src/plugins/entry/owned_shard.cpp
+++ b/src/plugins/entry/owned_shard.cpp
@@ -21,12 +21,13 @@
                          random_source& random, target_client& targets,
                          target_lease::confirm_function confirm,
                          std::function<void(const shard_event_record&)> report,
-                         const permit_agent_settings& permit_settings, const shard_owner_settings& settings)
+                         std::function<bool()> store_reachable, const permit_agent_settings& permit_settings,
+                         const shard_owner_settings& settings)
     : agent_{shard, epoch, store, random, permit_settings}, permits_{std::make_unique<agent_permits>(agent_)},
-      owner_{
-          shard, epoch,
-          shard_owner::environment{time, random, targets, *permits_, std::move(confirm), std::move(report)},
-          settings}
+      owner_{shard, epoch,
+             shard_owner::environment{time, random, targets, *permits_, std::move(confirm), std::move(report),
+                                      std::move(store_reachable)},
+             settings}
 {
     agent_.on_gain([this] { owner_.tick(); });
 }
--- a/src/plugins/entry/owned_shard.h
+++ b/src/plugins/entry/owned_shard.h
@@ -12,7 +12,7 @@
 public:
     owned_shard(const shard_id& shard, shard_epoch epoch, kv_store& store, const clock& time,
                 random_source& random, target_client& targets, target_lease::confirm_function confirm,
-                std::function<void(const shard_event_record&)> report,
+                std::function<void(const shard_event_record&)> report, std::function<bool()> store_reachable,
                 const permit_agent_settings& permit_settings, const shard_owner_settings& settings);
     ~owned_shard();
     owned_shard(const owned_shard&) = delete;
--- a/src/plugins/front/front.cpp
+++ b/src/plugins/front/front.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr duration not_ready_retry{std::chrono::seconds{1}};
+/// A shard that has refused a team for lack of permits is not chosen for this long.
+constexpr duration permitless_for{std::chrono::seconds{2}};
 /// An owner that held a call at least this long had accepted it.
 constexpr duration accepted_after{std::chrono::seconds{1}};
 
@@ -86,7 +88,8 @@
     state.work.declared_run = call.declared_run;
     state.work.body = call.body;
     if (call.idempotent) {
-        const std::optional<shard_id> shard = choose_shard(view_, call.service, {}, random_);
+        const std::optional<shard_id> shard =
+            choose_shard(view_, call.service, without_permits(*team), random_);
         if (!shard) {
             refuse(reason::no_capacity);
             return;
@@ -184,7 +187,7 @@
 
 std::string front::new_ticket(const service_id& service, const team_id& team)
 {
-    const std::optional<shard_id> shard = choose_shard(view_, service, {}, random_);
+    const std::optional<shard_id> shard = choose_shard(view_, service, without_permits(team), random_);
     const std::optional<shard_route> route = shard ? view_.route(*shard) : std::nullopt;
     if (!route)
         return {};
@@ -307,6 +310,13 @@
         try_again(call);
         return;
     }
+    if (result.why == reason::no_permit) {
+        permitless_until_[{call.shard, call.work.team}] = time_.now() + permitless_for;
+        if (call.may_switch && switch_shard(call)) {
+            try_again(call);
+            return;
+        }
+    }
     // Another owner's earlier copy of the request may have run, or may still run.
     const bool other_copy = call.ambiguous && call.ambiguous_epoch != epoch && call.work.idempotent;
     if (other_copy && says_not_run(result)) {
@@ -329,7 +339,7 @@
     }
     note_disturbance(call);
     if (call.may_switch)
-        switch_shard(call);
+        (void)switch_shard(call);
     try_again(call);
 }
 
@@ -340,23 +350,36 @@
         call.disturbed_since = now;
 }
 
-void front::switch_shard(call_state& call)
+bool front::switch_shard(call_state& call)
 {
     call.tried.insert(call.shard);
-    const std::optional<shard_id> other = choose_shard(view_, call.work.service, call.tried, random_);
+    std::set<shard_id> avoid = without_permits(call.work.team);
+    avoid.insert(call.tried.begin(), call.tried.end());
+    const std::optional<shard_id> other = choose_shard(view_, call.work.service, avoid, random_);
     if (!other) {
         call.tried.clear();
-        return;
+        return false;
     }
     call.shard = *other;
     call.work.id = make_request_id(*other, call.work.team, new_nonce());
+    return true;
+}
+
+std::set<shard_id> front::without_permits(const team_id& team) const
+{
+    std::set<shard_id> shards;
+    for (const auto& [key, until] : permitless_until_) {
+        if (key.second == team)
+            shards.insert(key.first);
+    }
+    return shards;
 }
 
 void front::try_again(call_state& call)
 {
     const timestamp now = time_.now();
     if (call.may_switch && !view_.route(call.shard))
-        switch_shard(call);
+        (void)switch_shard(call);
     call.next_try = now + settings_.retry_delay;
     timestamp give_up_at = call.give_up;
     if (call.disturbed_since)
@@ -385,6 +408,7 @@
 void front::tick()
 {
     const timestamp now = time_.now();
+    std::erase_if(permitless_until_, [now](const auto& it) { return it.second <= now; });
     std::vector<std::uint64_t> due;
     for (const auto& [id, call] : outstanding_) {
         if (!call.in_flight && call.next_try <= now)
--- a/src/plugins/front/front.h
+++ b/src/plugins/front/front.h
@@ -106,7 +106,9 @@
     void answered(std::uint64_t id, shard_epoch epoch, const outcome& result);
     void failed(std::uint64_t id, shard_epoch epoch, peer_errc ec);
     void note_disturbance(call_state& call);
-    void switch_shard(call_state& call);
+    [[nodiscard]] bool switch_shard(call_state& call);
+    /// Shards that have lately refused the team for lack of permits.
+    [[nodiscard]] std::set<shard_id> without_permits(const team_id& team) const;
     void try_again(call_state& call);
     void give_up(call_state& call);
     void finish(std::uint64_t id, const outcome& result);
@@ -118,6 +120,7 @@
     peer_client& peers_;
     front_settings settings_;
     std::map<std::uint64_t, call_state> outstanding_;
+    std::map<std::pair<shard_id, team_id>, timestamp> permitless_until_;
     std::uint64_t last_call_ = 0;
     bool draining_ = false;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/src/plugins/shard/shard_owner.cpp
+++ b/src/plugins/shard/shard_owner.cpp
@@ -449,6 +449,27 @@
     }
 }
 
+void shard_owner::refuse_without_permits()
+{
+    if (env_.store_reachable())
+        return;
+    std::set<team_id> stuck;
+    for (const team_id& team : queue_.waiting_teams()) {
+        if (!team.empty() && env_.permits.held(team) == 0 && tasks_.in_use(team) == 0)
+            stuck.insert(team);
+    }
+    if (stuck.empty())
+        return;
+    // No permit can arrive before the store is back; another zone may have some.
+    for (const request_id& id : queue_.waiting_requests()) {
+        const request_record* record = requests_.find(id);
+        if (record == nullptr || record->runs != 0 || !stuck.contains(record->work.team))
+            continue;
+        queue_.cancel(id);
+        end(id, outcome_kind::refused_not_run, reason::no_permit);
+    }
+}
+
 void shard_owner::settle_recovering()
 {
     const bool complete = targets_.all_fenced();
@@ -635,6 +656,7 @@
     settle_recovering();
     resume_backoffs();
     expire_queue();
+    refuse_without_permits();
     requests_.expire(env_.time.now());
     pump();
 }
--- a/src/plugins/shard/shard_owner.h
+++ b/src/plugins/shard/shard_owner.h
@@ -64,6 +64,8 @@
         /// Confirms by a fresh store read that this host still owns the shard at this epoch.
         target_lease::confirm_function confirm;
         std::function<void(const shard_event_record&)> report;
+        /// False while permits cannot be moved.
+        std::function<bool()> store_reachable;
     };
 
     shard_owner(const shard_id& shard, shard_epoch epoch, environment env,
@@ -105,6 +107,7 @@
     void settle_recovering();
     void resume_backoffs();
     void expire_queue();
+    void refuse_without_permits();
 
     [[nodiscard]] attempt_events events_for(const task_id& task);
     void task_answered(const task_id& id, const task_result& result);
