--- a/src/plugins/configuration/config_commit.cpp
+++ b/src/plugins/configuration/config_commit.cpp
@@ -793,12 +793,12 @@
     impl_->start(op);
 }
 
-void config_commit::history(std::size_t limit, history_callback done)
+void config_commit::history(std::size_t limit, const history_callback& done)
 {
     impl_->history(limit, done);
 }
 
-void config_commit::open_proposals(proposals_callback done)
+void config_commit::open_proposals(const proposals_callback& done)
 {
     impl_->open_proposals(done);
 }
--- a/src/plugins/configuration/config_commit.h
+++ b/src/plugins/configuration/config_commit.h
@@ -135,9 +135,9 @@
     /// What became of a proposal so far.
     void status(const std::string& id, status_callback done);
     /// Newest first, at most `limit`.
-    void history(std::size_t limit, history_callback done);
+    void history(std::size_t limit, const history_callback& done);
     /// Proposals that are neither accepted nor rejected.
-    void open_proposals(proposals_callback done);
+    void open_proposals(const proposals_callback& done);
 
     /// Called for each version committed here, with its text and a time at which nothing newer existed.
     /// Set before the first commit; the local replica must take the version before the next promise.
