Serve the operators' API and pass configurations on between hosts

Cause: keys could not be withdrawn through the product, a host cut off from the store refused keyed work though its peers had the newest version, and hosts reported an unreachable store without promising not to commit. Change: commit, progress and admin API in the entry program; promises only in answers; a host without the store asks peers for a newer version's text.

--- a/src/plugins/entry/entry_node.cpp
+++ b/src/plugins/entry/entry_node.cpp
@@ -37,13 +37,17 @@
 entry_node::entry_node(const entry_node_settings& settings, const entry_services& services)
     : settings_{settings}, services_{services}, membership_{settings.self, services.store, services.random,
                                                             settings.membership},
-      replica_{services.store, settings.replica}, freshness_{settings.freshness}, front_{*this, services.time,
-                                                                                         services.random,
-                                                                                         services.peers,
-                                                                                         settings.front}
+      replica_{services.store, settings.replica}, freshness_{settings.freshness},
+      promise_{settings.freshness.promise}, commit_{services.store, promise_, config_commit_settings{}},
+      progress_{config_progress_settings{}}, front_{*this, services.time, services.random, services.peers,
+                                                    settings.front}
 {
     membership_.on_gain([this](const shard_id& shard, shard_epoch epoch) { gain(shard, epoch); });
     membership_.on_loss([this](const shard_id& shard) { lose(shard); });
+    commit_.on_commit([this](std::uint64_t version, const std::string& text, timestamp when) {
+        replica_.offer(version, text, when);
+        progress_.committed(version, when);
+    });
     replica_.on_install([this](const std::shared_ptr<const fleet_config>& config) { install(config); });
 }
 
@@ -59,6 +63,7 @@
     retired_.clear();
     membership_.tick(now);
     replica_.tick(now);
+    drive_commits();
     update_freshness();
     watch_changes();
     for (auto& [shard, owned] : owned_)
@@ -79,6 +84,7 @@
 {
     membership_.set_shards(config->shards());
     membership_.set_config_version(config->version);
+    progress_.committed(config->version, services_.time.now());
     freshness_.set_version(config->version);
     for (auto& [shard, owned] : owned_)
         owned->configure(*config);
@@ -178,6 +184,7 @@
     committers[settings_.self.endpoint.id] = settings_.self.zone;
     freshness_.set_committers(committers, settings_.self.endpoint.id);
     freshness_.set_self_unreachable(!store_reachable());
+    freshness_.set_commit_outstanding(promise_.outstanding_since());
     if (const std::optional<timestamp> confirmed = replica_.last_confirmed())
         freshness_.confirmed_at(*confirmed);
     if (!hosts.empty())
@@ -202,6 +209,24 @@
     return message;
 }
 
+void entry_node::drive_commits()
+{
+    const timestamp now = services_.time.now();
+    commit_.tick(now);
+    if (now >= next_progress_) {
+        next_progress_ = now + settings_.progress_interval;
+        std::map<host_id, std::uint64_t> versions;
+        for (const member& peer : membership_.members())
+            versions[peer.endpoint.id] = peer.config_version;
+        if (store_reachable())
+            progress_.observe(versions, now);
+    }
+    if (now >= next_month_ && store_reachable() && replica_.current()) {
+        next_month_ = now + settings_.month_interval;
+        commit_.advance_month(services_.time.wall_now(), [](const change_result&) {});
+    }
+}
+
 void entry_node::exchange_status()
 {
     std::vector<member> peers;
@@ -222,7 +247,9 @@
 void entry_node::send_status(const member& peer)
 {
     const timestamp asked = services_.time.now();
-    services_.peers.exchange_status(peer.endpoint, encode_status(own_status()),
+    status_message question = own_status();
+    question.wants_config = !question.store_reachable && newest_heard_ > question.config_version;
+    services_.peers.exchange_status(peer.endpoint, encode_status(question),
                                     [this, asked, alive = std::weak_ptr<int>{alive_}](
                                         const tl::expected<std::string, peer_errc>& answer) {
                                         if (alive.expired() || !answer)
@@ -243,7 +270,18 @@
         receive_status(*decoded, std::nullopt);
     else
         ++malformed_;
-    return encode_status(own_status());
+    return encode_status(status_answer(decoded ? std::optional{*decoded} : std::nullopt));
+}
+
+status_message entry_node::status_answer(const std::optional<status_message>& question)
+{
+    status_message answer = own_status();
+    // Only the answer to a question promises: the asking host counts it from the time of its question.
+    answer.no_commit_promised =
+        question && !answer.store_reachable && promise_.give(services_.time.now()).has_value();
+    if (question && question->wants_config && question->config_version < answer.config_version)
+        answer.config = replica_.current_text();
+    return answer;
 }
 
 void entry_node::receive_status(const status_message& message, std::optional<timestamp> asked)
@@ -251,14 +289,18 @@
     const timestamp now = services_.time.now();
     services_.events.observe(message.sent);
     fleet_.record(message, now);
-    if (message.store_reachable) {
+    newest_heard_ = std::max(newest_heard_, message.config_version);
+    if (message.store_reachable)
         freshness_.store_reachable_reported(message.host);
-        // Counted from the question, so that the time on the way errs on the side of older.
-        if (asked && message.confirmed_age >= duration{0})
-            replica_.confirm(message.config_version, *asked - message.confirmed_age);
-    } else if (asked) {
+    else if (asked && message.no_commit_promised)
         freshness_.store_unreachable_reported(message.host, *asked, message.config_version);
-    }
+    if (!asked || message.confirmed_age < duration{0})
+        return;
+    // Counted from the question, so that the time on the way errs on the side of older.
+    const timestamp confirmed = *asked - message.confirmed_age;
+    if (!message.config.empty())
+        replica_.offer(message.config_version, message.config, confirmed);
+    replica_.confirm(message.config_version, confirmed);
 }
 
 void entry_node::update_remote_usage()
--- a/src/plugins/entry/entry_node.h
+++ b/src/plugins/entry/entry_node.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "configuration/commit_promise.h"
+#include "configuration/config_commit.h"
+#include "configuration/config_progress.h"
 #include "configuration/config_replica.h"
 #include "configuration/key_freshness.h"
 #include "entry/fleet_view.h"
@@ -28,6 +31,8 @@
     front_settings front;
     duration status_interval{std::chrono::seconds{1}};
     std::size_t status_fanout = 2;
+    duration progress_interval{std::chrono::seconds{1}};
+    duration month_interval{std::chrono::minutes{1}};
     duration host_list_interval{std::chrono::seconds{5}};
     /// A configured target that the platform's list has left out for this long is gone.
     duration host_list_lag{std::chrono::seconds{60}};
@@ -81,6 +86,11 @@
 
     [[nodiscard]] std::shared_ptr<const fleet_config> config() const override { return replica_.current(); }
     [[nodiscard]] membership_agent& membership() { return membership_; }
+    /// For the operators' API.
+    [[nodiscard]] config_commit& commits() { return commit_; }
+    [[nodiscard]] const config_replica& replica() const { return replica_; }
+    [[nodiscard]] const config_progress& progress() const { return progress_; }
+    [[nodiscard]] const key_freshness& freshness() const { return freshness_; }
     [[nodiscard]] std::size_t malformed_status_messages() const { return malformed_; }
 
 private:
@@ -100,6 +110,8 @@
     void read_host_list();
     void apply_host_list(const std::vector<listed_host>& listed);
     [[nodiscard]] status_message own_status();
+    [[nodiscard]] status_message status_answer(const std::optional<status_message>& question);
+    void drive_commits();
     [[nodiscard]] bool store_reachable() const;
     void record(timeline_kind kind, const shard_id& shard, std::string detail);
     void record_shard_event(const shard_event_record& event);
@@ -110,6 +122,10 @@
     membership_agent membership_;
     config_replica replica_;
     key_freshness freshness_;
+    commit_promise promise_;
+    config_commit commit_;
+    config_progress progress_;
+    std::uint64_t newest_heard_ = 0; ///< Newest configuration version that another host has reported.
     fleet_view fleet_;
     std::map<shard_id, std::unique_ptr<owned_shard>> owned_;
     std::vector<std::unique_ptr<owned_shard>> retired_; ///< Destroyed at the next tick, outside callbacks.
@@ -117,6 +133,8 @@
     std::map<target_id, timestamp> unlisted_since_;
     timestamp next_status_;
     timestamp next_host_list_;
+    timestamp next_progress_;
+    timestamp next_month_;
     bool reading_host_list_ = false;
     bool draining_ = false;
     bool store_was_reachable_ = true;
--- a/src/plugins/entry/status_message.cpp
+++ b/src/plugins/entry/status_message.cpp
@@ -41,6 +41,10 @@
     document["v"] = message.config_version;
     document["a"] = message.confirmed_age.count();
     document["s"] = message.store_reachable;
+    document["p"] = message.no_commit_promised;
+    document["w"] = message.wants_config;
+    if (!message.config.empty())
+        document["c"] = message.config;
     document["o"] = json::array();
     for (const shard_status& status : message.shards)
         document["o"].push_back(shard_to_json(status));
@@ -66,6 +70,9 @@
         message.config_version = document.at("v").get<std::uint64_t>();
         message.confirmed_age = duration{document.at("a").get<duration::rep>()};
         message.store_reachable = document.at("s").get<bool>();
+        message.no_commit_promised = document.at("p").get<bool>();
+        message.wants_config = document.at("w").get<bool>();
+        message.config = document.value("c", std::string{});
         for (const json& status : document.at("o"))
             message.shards.push_back(shard_from_json(status));
         for (const auto& [team, count] : document.at("r").items())
--- a/src/plugins/entry/status_message.h
+++ b/src/plugins/entry/status_message.h
@@ -28,7 +28,11 @@
     /// Age of the latest confirmation that `config_version` is the newest; negative when there is none.
     duration confirmed_age{-1};
     bool store_reachable = true;
-    std::vector<shard_status> shards;        ///< Owned by the sender.
+    /// With an answer only: the sender commits no configuration for the length of a promise from now on.
+    bool no_commit_promised = false;
+    bool wants_config = false;        ///< The sender cannot read the store and has heard of a newer version.
+    std::string config;               ///< Text of `config_version`, for a sender that wants it.
+    std::vector<shard_status> shards; ///< Owned by the sender.
     std::map<team_id, std::int64_t> running; ///< Tasks by team in the sender's shards.
 };
 
--- a/src/plugins/entry/tests/tst_entry_node.cpp
+++ b/src/plugins/entry/tests/tst_entry_node.cpp
@@ -194,3 +194,62 @@
     CHECK(fleet.highest_running_of("t1") <= 10);
     CHECK(fleet.violations.empty());
 }
+
+namespace {
+
+/// Withdraws the key of `t1` in a new version.
+void withdraw_key(fleet_fixture& fleet)
+{
+    fleet_config next = fleet.config;
+    ++next.version;
+    next.teams.at(team_id{"t1"}).keys.clear();
+    fleet.commit(next);
+}
+
+reason refusal_at(fleet_fixture& fleet, const std::string& host)
+{
+    const std::shared_ptr<submission> it = fleet.submit(host, fleet_fixture::call("t1", true));
+    fleet.run(1s);
+    return it->answered() && it->kind() == outcome_kind::refused_not_run ? it->why() : reason::none;
+}
+
+} // namespace
+
+TEST_CASE("a withdrawn key stops working on every host within seconds")
+{
+    fleet_fixture fleet;
+    fleet.run(5s);
+    withdraw_key(fleet);
+    fleet.run(7s);
+    for (const std::string& host : fleet.hosts())
+        CHECK(refusal_at(fleet, host) == reason::key_invalid);
+}
+
+TEST_CASE("a host cut off from the store learns of a withdrawn key from its peers")
+{
+    fleet_fixture fleet;
+    fleet.run(5s);
+    fleet.cut_from_store("z1h1", true);
+    fleet.run(5s);
+    withdraw_key(fleet);
+    fleet.run(7s);
+    CHECK(refusal_at(fleet, "z1h1") == reason::key_invalid);
+    CHECK(fleet.node("z1h1").config()->version == 2);
+}
+
+TEST_CASE("a zone cut off from the store and from all others refuses keyed work and serves open queues")
+{
+    fleet_fixture fleet;
+    fleet.run(5s);
+    for (const std::string host : {"z1h1", "z1h2"})
+        fleet.cut_from_store(host, true);
+    fleet.partition_zones("z1", "z2", true);
+    fleet.partition_zones("z1", "z3", true);
+    withdraw_key(fleet);
+    fleet.run(7s);
+    CHECK(refusal_at(fleet, "z1h1") == reason::key_not_verifiable);
+    const std::shared_ptr<submission> open = fleet.submit("z1h1", fleet_fixture::call("", true));
+    fleet.run(3s);
+    REQUIRE(open->answered());
+    CHECK(open->kind() == outcome_kind::completed);
+}
--- a/src/tools/mjm_entry/decision_service.cpp
+++ b/src/tools/mjm_entry/decision_service.cpp
@@ -72,6 +72,10 @@
     callers_ =
         std::make_unique<caller_api>(node_->callers(), time_, caller_api_settings{settings_.longest_wait});
     peer_handler_ = std::make_unique<peer_api>(*node_, settings_.host);
+    admin_settings admin;
+    admin.bootstrap_token = settings_.bootstrap_token;
+    operators_ = std::make_unique<admin_api>(node_->commits(), node_->replica(), node_->progress(),
+                                             node_->freshness(), admin);
     events_.record(timeline_kind::process_started);
     log_.info("process_started", {{"host", settings_.host}, {"zone", settings_.zone}});
     thread_.start();
@@ -117,6 +121,10 @@
 
 void decision_service::answer_operator(const http_request& request, const http_server::responder& respond)
 {
+    if (request.path.starts_with("/admin/")) {
+        operators_->handle(request, time_.now(), time_.wall_now(), respond);
+        return;
+    }
     http_response response;
     if (request.path == "/healthz") {
         response.body = R"({"status":"ok"})";
@@ -164,6 +172,7 @@
 {
     node_->tick();
     callers_->tick();
+    operators_->tick(time_.now());
     drained_ = node_->drained();
     const timestamp now = time_.now();
     if (now >= next_publish_) {
--- a/src/tools/mjm_entry/decision_service.h
+++ b/src/tools/mjm_entry/decision_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admin/admin_api.h"
 #include "caller_api/caller_api.h"
 #include "core/clock.h"
 #include "entry_program.h"
@@ -65,6 +66,7 @@
     std::unique_ptr<entry_node> node_;
     std::unique_ptr<caller_api> callers_;
     std::unique_ptr<peer_api> peer_handler_;
+    std::unique_ptr<admin_api> operators_;
     timestamp next_publish_;
     std::atomic<bool> drained_ = false;
 };
--- a/src/tools/mjm_entry/entry_program.h
+++ b/src/tools/mjm_entry/entry_program.h
@@ -25,7 +25,8 @@
     std::size_t request_queue = 4096;
     std::size_t max_caller_connections = 2000;
     std::size_t timeline_capacity = 20'000;
-    std::string timeline_file; ///< Appended to; empty for none.
+    std::string bootstrap_token; ///< Permits creating the first configuration; empty forbids it.
+    std::string timeline_file;   ///< Appended to; empty for none.
     log_settings log;
 };
 
--- a/src/tools/mjm_entry/entry_schema.cpp
+++ b/src/tools/mjm_entry/entry_schema.cpp
@@ -35,6 +35,8 @@
         .integer("max_caller_connections", &s::max_caller_connections, 1, 100'000,
                  "Connections from callers open at once.")
         .integer("timeline_capacity", &s::timeline_capacity, 100, 1'000'000, "Events held for the time line.")
+        .string("bootstrap_token", &s::bootstrap_token,
+                "Secret that permits creating the first configuration; empty forbids it.")
         .string("timeline_file", &s::timeline_file, "File that events are appended to; empty for none.")
         .group("log", &s::log, make_log_schema(), "Log output.");
     schema.check({"caller_port", "peer_port", "admin_port"}, [](const s& it) -> std::optional<std::string> {
