--- a/src/plugins/entry/entry_node.cpp
+++ b/src/plugins/entry/entry_node.cpp
@@ -321,6 +321,10 @@
             fleet_total[team] += count;
     }
     for (auto& [shard, owned] : owned_) {
+        const double part =
+            static_cast<double>(owned->owner().usable_capacity().slots) / static_cast<double>(slots);
+        if (part > 0.0)
+            owned->owner().set_fleet_fraction(std::min(part, 1.0));
         for (const auto& [team, record] : config->teams) {
             const std::int64_t here = local[shard][team];
             const std::int64_t elsewhere = fleet_total[team] - here;
--- a/src/plugins/front/front.cpp
+++ b/src/plugins/front/front.cpp
@@ -338,7 +338,8 @@
         call.ambiguous_epoch = epoch;
     }
     note_disturbance(call);
-    if (call.may_switch)
+    // A call that only timed out belongs to a long task: its owner is asked again.
+    if (call.may_switch && ec != peer_errc::timed_out)
         (void)switch_shard(call);
     try_again(call);
 }
--- a/src/plugins/shard/shard_owner.cpp
+++ b/src/plugins/shard/shard_owner.cpp
@@ -199,22 +199,47 @@
     update_demand();
 }
 
-bool shard_owner::start_next()
+pick_context shard_owner::make_pick_context() const
 {
-    const std::set<target_id> none;
+    const auto has_room = [this](const resources& need) {
+        return targets_.choose(need, {}, tasks_, env_.random).has_value();
+    };
     pick_context context;
     context.may_start = [this](const team_id& team) { return free_permits(team) > 0; };
-    context.fits = [&](const queued_task& task) {
-        return targets_.choose(task.need, none, tasks_, env_.random).has_value();
+    context.fits = [has_room](const queued_task& task) { return has_room(task.need); };
+    context.has_room = has_room;
+    context.fits_beside = [this](const queued_task& task, const queued_task& reserved) {
+        const std::optional<target_id> kept = targets_.choose_kept(reserved.need, tasks_);
+        return !kept || targets_.choose_beside(task.need, *kept, tasks_, env_.random).has_value();
     };
-    const std::optional<queued_task> picked = queue_.pick(context, env_.time.now());
+    return context;
+}
+
+std::optional<target_id> shard_owner::target_for(const queued_task& task, const request_record& record,
+                                                 const std::optional<queued_task>& reserved) const
+{
+    if (reserved && reserved->id != task.id) {
+        if (const std::optional<target_id> kept = targets_.choose_kept(reserved->need, tasks_))
+            return targets_.choose_beside(task.need, *kept, tasks_, env_.random);
+    }
+    return targets_.choose(task.need, record.failed_on, tasks_, env_.random);
+}
+
+bool shard_owner::start_next()
+{
+    const std::optional<queued_task> reserved_before = queue_.reserved();
+    const std::optional<queued_task> picked = queue_.pick(make_pick_context(), env_.time.now());
     if (!picked)
         return false;
     request_record* record = requests_.find(picked->id);
     if (record == nullptr || record->phase != request_phase::queued)
         return true;
+    // A reservation that the pick itself ended or granted does not bind this task.
+    const std::optional<queued_task> reserved_after = queue_.reserved();
+    const bool still_reserved =
+        reserved_before && reserved_after && reserved_before->id == reserved_after->id;
     const std::optional<target_id> target =
-        targets_.choose(picked->need, record->failed_on, tasks_, env_.random);
+        target_for(*picked, *record, still_reserved ? reserved_after : std::nullopt);
     if (!target) {
         enqueue(*record);
         return false;
--- a/src/plugins/shard/shard_owner.h
+++ b/src/plugins/shard/shard_owner.h
@@ -77,6 +77,8 @@
     void configure(const fleet_config& config);
     void set_listed_state(const target_id& target, bool leaving, bool gone);
     void set_remote_usage(const team_id& team, double dominant_fraction);
+    /// This shard's part of the fleet's capacity, in (0, 1].
+    void set_fleet_fraction(double fraction) { queue_.set_fleet_fraction(fraction); }
 
     /// Takes a request, or joins it when its identifier is known. `done` is called once, now or later.
     void submit(const request& work, outcome_function done);
@@ -103,6 +105,9 @@
     void enqueue(request_record& record);
     void pump();
     bool start_next();
+    [[nodiscard]] pick_context make_pick_context() const;
+    [[nodiscard]] std::optional<target_id> target_for(const queued_task& task, const request_record& record,
+                                                      const std::optional<queued_task>& reserved) const;
     void start_task(request_record& record, const target_id& target);
     void settle_recovering();
     void resume_backoffs();
--- a/src/plugins/shard/target_set.cpp
+++ b/src/plugins/shard/target_set.cpp
@@ -141,15 +141,36 @@
     return result;
 }
 
+std::vector<placement_candidate> target_set::candidates_without(const std::set<target_id>& excluded,
+                                                                const task_ledger& tasks) const
+{
+    std::vector<placement_candidate> candidates;
+    candidates.reserve(targets_.size());
+    for (const auto& [id, target] : targets_) {
+        if (!excluded.contains(id))
+            candidates.push_back(candidate(target, tasks));
+    }
+    return candidates;
+}
+
 std::optional<target_id> target_set::choose(const resources& need, const std::set<target_id>& avoid,
                                             const task_ledger& tasks, random_source& random) const
 {
-    std::vector<placement_candidate> candidates;
-    std::vector<placement_candidate> avoided;
-    for (const auto& [id, target] : targets_)
-        (avoid.contains(id) ? avoided : candidates).push_back(candidate(target, tasks));
-    const std::optional<target_id> chosen = choose_target(candidates, need, random);
-    return chosen ? chosen : choose_target(avoided, need, random);
+    const std::optional<target_id> chosen = choose_target(candidates_without(avoid, tasks), need, random);
+    if (chosen || avoid.empty())
+        return chosen;
+    return choose_target(candidates_without({}, tasks), need, random);
+}
+
+std::optional<target_id> target_set::choose_kept(const resources& need, const task_ledger& tasks) const
+{
+    return choose_reservation(candidates_without({}, tasks), need);
+}
+
+std::optional<target_id> target_set::choose_beside(const resources& need, const target_id& kept,
+                                                   const task_ledger& tasks, random_source& random) const
+{
+    return choose_target(candidates_without({kept}, tasks), need, random);
 }
 
 bool target_set::can_ever_hold(const resources& need) const
--- a/src/plugins/shard/target_set.h
+++ b/src/plugins/shard/target_set.h
@@ -42,6 +42,12 @@
 
     [[nodiscard]] std::optional<target_id> choose(const resources& need, const std::set<target_id>& avoid,
                                                   const task_ledger& tasks, random_source& random) const;
+    /// Target to keep free for a large task; see `choose_reservation`.
+    [[nodiscard]] std::optional<target_id> choose_kept(const resources& need, const task_ledger& tasks) const;
+    /// Like `choose`, never on `kept`.
+    [[nodiscard]] std::optional<target_id> choose_beside(const resources& need, const target_id& kept,
+                                                         const task_ledger& tasks,
+                                                         random_source& random) const;
     /// True when some target could hold `need` if it were idle.
     [[nodiscard]] bool can_ever_hold(const resources& need) const;
     [[nodiscard]] bool empty() const { return targets_.empty(); }
@@ -78,6 +84,8 @@
     void add(const target_record& record, bool inherited);
     void lease_opened(const target_id& id, const lease_grant& grant, bool rebooted);
     [[nodiscard]] bool usable(const entry& target) const;
+    [[nodiscard]] std::vector<placement_candidate> candidates_without(const std::set<target_id>& excluded,
+                                                                      const task_ledger& tasks) const;
     [[nodiscard]] placement_candidate candidate(const entry& target, const task_ledger& tasks) const;
 
     shard_id shard_;
