--- a/src/plugins/caller_api/caller_api.cpp
+++ b/src/plugins/caller_api/caller_api.cpp
@@ -72,7 +72,7 @@
 
 std::shared_ptr<caller_api::waiting_call> caller_api::wait_for(responder respond)
 {
-    const std::shared_ptr<waiting_call> call = std::make_shared<waiting_call>();
+    std::shared_ptr<waiting_call> call = std::make_shared<waiting_call>();
     call->respond = std::move(respond);
     call->until = time_.now() + settings_.longest_wait;
     waiting_.push_back(call);
