--- a/src/libs/platform/tests/fakes/call_pump.h
+++ b/src/libs/platform/tests/fakes/call_pump.h
@@ -45,10 +45,10 @@
     std::size_t deliver_all(std::size_t limit = 100'000);
     /// Delivers the messages that are pending now, but not those that they cause.
     std::size_t deliver_round();
-
-private:
+    /// Takes the message out without delivering or losing it.
     bool take(message_id id, message& out);
 
+private:
     std::deque<message> messages_;
     message_id last_id_ = 0;
 };
--- a/src/plugins/entry/tests/fleet_fixture.cpp
+++ b/src/plugins/entry/tests/fleet_fixture.cpp
@@ -109,7 +109,7 @@
             for (const std::string pool : {"lens", "browse"}) {
                 const target_record record = make_target(zone, n, pool);
                 config.targets[record.endpoint.id] = record;
-                targets.add(record.endpoint.id);
+                targets.add(record.endpoint.id, options.target);
                 listed.push_back({record.endpoint.id, mjm::host_state::live});
             }
         }
@@ -129,8 +129,10 @@
 
 fleet_fixture::~fleet_fixture()
 {
-    for (auto& [id, host] : nodes_)
+    for (auto& [id, host] : nodes_) {
+        host.link->close();
         host.node.reset();
+    }
     set_invariant_handler(previous_handler_);
 }
 
@@ -153,20 +155,35 @@
     if (!host.store)
         host.store = std::make_unique<cuttable_store>(store, pump);
     host.peers = std::make_unique<fake_peer_client>(peers, host.self.endpoint.id);
+    host.paused = false;
+    host.link = std::make_shared<host_link>(host.self.endpoint.id.str(), observer);
+    host.linked_to_store = std::make_unique<linked_store>(host.link, *host.store);
+    host.linked_to_targets = std::make_unique<linked_targets>(host.link, targets);
+    host.linked_to_peers = std::make_unique<linked_peers>(host.link, *host.peers);
+    host.linked_to_list = std::make_unique<linked_host_list>(host.link, host_list);
     entry_node_settings settings;
     settings.self = host.self;
     host.node = std::make_unique<entry_node>(
-        settings, entry_services{*host.store, targets, *host.peers, host_list, time, random, *host.events});
+        settings, entry_services{*host.linked_to_store, *host.linked_to_targets, *host.linked_to_peers,
+                                 *host.linked_to_list, time, random, *host.events});
     entry_node* node = host.node.get();
+    const std::shared_ptr<host_link> link = host.link;
     fake_peer_network::handlers handlers;
-    handlers.forward = [node](const forwarded_request& message, std::function<void(outcome)> done) {
-        node->on_forward(message, [done](const outcome& result) { done(result); });
+    handlers.forward = [node, link](const forwarded_request& message, std::function<void(outcome)> done) {
+        link->deliver([node, message, done] {
+            node->on_forward(message, [done](const outcome& result) { done(result); });
+        });
     };
-    handlers.cancel = [node](const shard_id& shard, const request_id& request,
-                             std::function<void(outcome)> done) {
-        node->on_cancel(shard, request, [done](const outcome& result) { done(result); });
+    handlers.cancel = [node, link](const shard_id& shard, const request_id& request,
+                                   std::function<void(outcome)> done) {
+        link->deliver([node, shard, request, done] {
+            node->on_cancel(shard, request, [done](const outcome& result) { done(result); });
+        });
+    };
+    // The fake network takes an answer at once only; a paused host gives one that is ignored.
+    handlers.status = [node, link](const std::string& message) {
+        return link->paused() ? std::string{} : node->on_status(message);
     };
-    handlers.status = [node](const std::string& message) { return node->on_status(message); };
     peers.set_host(host.self.endpoint.id, std::move(handlers));
 }
 
@@ -174,9 +191,17 @@
 {
     host_state& host = nodes_.at(id);
     peers.remove_host(host.self.endpoint.id);
+    host.link->close();
     host.node.reset();
 }
 
+void fleet_fixture::pause(const std::string& id, bool on)
+{
+    host_state& host = nodes_.at(id);
+    host.paused = on;
+    host.link->pause(on);
+}
+
 void fleet_fixture::restart(const std::string& id)
 {
     start_node(nodes_.at(id));
@@ -219,8 +244,11 @@
         if (host.node && !host.paused)
             host.node->tick();
     }
-    for (int i = 0; i < rounds; ++i)
+    for (int i = 0; i < rounds; ++i) {
+        if (before_round)
+            before_round();
         pump.deliver_round();
+    }
     finish_due_tasks();
     for (auto& [team, highest] : highest_)
         highest = std::max(highest, running_of(team));
--- a/src/plugins/entry/tests/fleet_fixture.h
+++ b/src/plugins/entry/tests/fleet_fixture.h
@@ -9,6 +9,7 @@
 #include "fake_kv_store.h"
 #include "fake_peer_network.h"
 #include "fake_target.h"
+#include "host_link.h"
 
 #include <functional>
 #include <map>
@@ -57,6 +58,7 @@
     std::size_t targets_per_zone = 2;
     std::int64_t team_limit = 100;
     std::uint64_t seed = 1;
+    target_model_settings target{};
 };
 
 /// Entry hosts, targets and the platform in one thread and virtual time. One service `lens`, one open
@@ -76,7 +78,12 @@
     void kill(const std::string& host);
     void restart(const std::string& host);
     /// A paused host neither ticks nor sends; messages to it wait.
-    void pause(const std::string& host, bool on) { nodes_.at(host).paused = on; }
+    void pause(const std::string& host, bool on);
+    [[nodiscard]] bool paused(const std::string& host) const { return nodes_.at(host).paused; }
+    [[nodiscard]] const std::string& zone_of(const std::string& host) const
+    {
+        return nodes_.at(host).self.zone.str();
+    }
     void cut_from_store(const std::string& host, bool on) { nodes_.at(host).store->set_cut(on); }
     void partition_zones(const std::string& a, const std::string& b, bool on);
     /// Commits a configuration directly in the store.
@@ -107,12 +114,19 @@
     fake_host_list host_list{pump};
     fleet_config config;
     std::vector<std::string> violations;
+    fleet_observer* observer = nullptr;
+    std::function<void()> before_round; ///< Called before each round of deliveries, to add message faults.
 
 private:
     struct host_state {
         member self;
         std::unique_ptr<cuttable_store> store;
         std::unique_ptr<fake_peer_client> peers;
+        std::shared_ptr<host_link> link;
+        std::unique_ptr<linked_store> linked_to_store;
+        std::unique_ptr<linked_targets> linked_to_targets;
+        std::unique_ptr<linked_peers> linked_to_peers;
+        std::unique_ptr<linked_host_list> linked_to_list;
         std::unique_ptr<timeline> events;
         std::unique_ptr<entry_node> node;
         bool paused = false;
