Apply the known host list to a shard that was just gained

Cause: the states of the host list reached the owners of shards only when a list was read. An owner that gained a shard, or got its first configuration after the list, started work on leaving targets until the next read, up to 5 s later.

Change: the node keeps the list with the time of its reading, and applies it when a shard is gained and when a configuration is installed. A target counts as gone by the time of reading, so that no list is counted for longer than it was read.

--- a/src/plugins/entry/entry_node.cpp
+++ b/src/plugins/entry/entry_node.cpp
@@ -82,6 +82,7 @@
     freshness_.set_version(config->version);
     for (auto& [shard, owned] : owned_)
         owned->configure(*config);
+    apply_host_list();
     timeline_fields fields;
     fields.version = config->version;
     services_.events.record(timeline_kind::config_installed, std::move(fields));
@@ -100,6 +101,7 @@
     if (replica_.current())
         owned->configure(*replica_.current());
     owned_.emplace(shard, std::move(owned));
+    apply_host_list();
     record(timeline_kind::shard_gained, shard, std::to_string(epoch));
 }
 
@@ -296,28 +298,31 @@
         if (alive.expired())
             return;
         reading_host_list_ = false;
-        if (listed)
-            apply_host_list(*listed);
+        if (!listed)
+            return;
+        listed_ = *listed;
+        listed_at_ = services_.time.now();
+        apply_host_list();
     });
 }
 
-void entry_node::apply_host_list(const std::vector<listed_host>& listed)
+void entry_node::apply_host_list()
 {
     const std::shared_ptr<const fleet_config> config = replica_.current();
-    if (!config)
+    if (!config || !listed_)
         return;
-    const timestamp now = services_.time.now();
     std::map<target_id, host_state> states;
-    for (const listed_host& host : listed)
+    for (const listed_host& host : *listed_)
         states[host.id] = host.state;
     for (const auto& [id, target] : config->targets) {
         const auto it = states.find(id);
         if (it != states.end())
             unlisted_since_.erase(id);
         else
-            unlisted_since_.try_emplace(id, now);
+            unlisted_since_.try_emplace(id, listed_at_);
         const bool leaving = it != states.end() && it->second == host_state::leaving;
-        const bool gone = it == states.end() && now - unlisted_since_.at(id) >= settings_.host_list_lag;
+        const bool gone =
+            it == states.end() && listed_at_ - unlisted_since_.at(id) >= settings_.host_list_lag;
         for (auto& [shard, owned] : owned_)
             owned->owner().set_listed_state(id, leaving, gone);
     }
--- a/src/plugins/entry/entry_node.h
+++ b/src/plugins/entry/entry_node.h
@@ -98,7 +98,8 @@
     void receive_status(const status_message& message, std::optional<timestamp> asked);
     void update_remote_usage();
     void read_host_list();
-    void apply_host_list(const std::vector<listed_host>& listed);
+    /// Tells the owned shards what the latest host list says about their targets.
+    void apply_host_list();
     [[nodiscard]] status_message own_status();
     [[nodiscard]] bool store_reachable() const;
     void record(timeline_kind kind, const shard_id& shard, std::string detail);
@@ -114,6 +115,8 @@
     std::map<shard_id, std::unique_ptr<owned_shard>> owned_;
     std::vector<std::unique_ptr<owned_shard>> retired_; ///< Destroyed at the next tick, outside callbacks.
     front front_;
+    std::optional<std::vector<listed_host>> listed_; ///< As last read, at `listed_at_`.
+    timestamp listed_at_;
     std::map<target_id, timestamp> unlisted_since_;
     timestamp next_status_;
     timestamp next_host_list_;
