Do not refuse a request as not run after an attempt that may have run

Cause: a request that waits for a repeated start was refused with 'not run' when its deadline had passed on leaving the back-off, when the queue was full, or when the last start was refused, although an earlier attempt had run or may have run.

Change: such a request ends as unknown, or as cancelled_running after a cancellation. It is refused only while no start may have run.

--- a/src/plugins/shard/shard_owner.cpp
+++ b/src/plugins/shard/shard_owner.cpp
@@ -184,7 +184,7 @@
     record.phase = request_phase::queued;
     const tl::expected<void, reason> result = queue_.enqueue(task, env_.time.now());
     if (!result)
-        end(record.work.id, outcome_kind::refused_not_run, result.error());
+        end_without_result(record, result.error());
 }
 
 void shard_owner::pump()
@@ -364,7 +364,9 @@
     if (record != nullptr && record->phase == request_phase::running && record->current == id) {
         --record->runs;
         if (record->cancel_requested) {
-            end(task->request, outcome_kind::cancelled_not_run, reason::none);
+            end(task->request,
+                record->runs == 0 ? outcome_kind::cancelled_not_run : outcome_kind::cancelled_running,
+                reason::none);
         } else {
             // Only errors that point at an overload or a dead target cost retry budget.
             const bool spend = ec == target_errc::busy || ec == target_errc::not_connected;
@@ -415,7 +417,10 @@
     const bool allowed = record.attempts < settings_.max_attempts &&
                          (!spend_budget || retries_.try_spend(record.work.team, now));
     if (!allowed) {
-        end(record.work.id, otherwise.kind, otherwise.why, otherwise.body);
+        if (otherwise.kind == outcome_kind::refused_not_run)
+            end_without_result(record, otherwise.why);
+        else
+            end(record.work.id, otherwise.kind, otherwise.why, otherwise.body);
         return;
     }
     report(shard_event::retried, record.work.id, record.work.team, record.current_target, "");
@@ -442,10 +447,7 @@
         request_record* record = requests_.find(id);
         if (record == nullptr)
             continue;
-        if (record->runs == 0)
-            end(id, outcome_kind::refused_not_run, reason::deadline);
-        else
-            end(id, outcome_kind::unknown, reason::deadline);
+        end_without_result(*record, reason::deadline);
     }
 }
 
@@ -676,6 +678,11 @@
     requests_.end(id, result, env_.time.now());
 }
 
+void shard_owner::end_without_result(const request_record& record, reason why)
+{
+    end(record.work.id, record.runs == 0 ? outcome_kind::refused_not_run : outcome_kind::unknown, why);
+}
+
 void shard_owner::report(shard_event kind, const request_id& id, const team_id& team, const target_id& target,
                          std::string detail) const
 {
