--- a/src/plugins/entry/tests/fleet_history.cpp
+++ b/src/plugins/entry/tests/fleet_history.cpp
@@ -94,7 +94,7 @@
     const std::string work = work_of_task_[task];
     work_of_request_[request] = work;
     std::vector<start_record>& starts = starts_[work];
-    starts.push_back({work, target, now});
+    starts.push_back({task, target, now});
     if (!idempotent_[work] && starts.size() > 1)
         violate(history_rule::single_start, now, work + " as " + task.str() + " on " + target);
     if (team.empty())
@@ -234,7 +234,7 @@
     }
     if (starts_.contains(work)) {
         for (const start_record& it : starts_.at(work))
-            out << "  " << seconds_of(it.at) << " s started on " << it.target << '\n';
+            out << "  " << seconds_of(it.at) << " s started " << it.task << " on " << it.target << '\n';
     }
     return out.str();
 }
--- a/src/plugins/entry/tests/fleet_history.h
+++ b/src/plugins/entry/tests/fleet_history.h
@@ -70,7 +70,7 @@
         std::vector<answer_record> answers;
     };
     struct start_record {
-        std::string work;
+        task_id task;
         std::string target;
         timestamp at;
     };
