End an attempt whose stop had kept its start from taking effect

Cause: a stop that reached the target before the start, and whose answer was lost, left a mark at the target. Every later fetch was answered task_stopped, which the attempt took for a passing fault, so it fetched for ever and held a slot and a permit.

Change: task_stopped as the answer to a fetch proves that the start did not run.

--- a/src/plugins/shard/task_attempt.cpp
+++ b/src/plugins/shard/task_attempt.cpp
@@ -57,6 +57,11 @@
         end_answered(*result);
         return;
     }
+    // An earlier stop, whose answer was lost, kept the start from taking effect.
+    if (result.error() == target_errc::task_stopped) {
+        end_not_started(result.error());
+        return;
+    }
     mark_lost();
     if (ended_)
         return;
