Keep all owners that an earlier copy of a request may have reached

Cause: the front remembered only the latest epoch of such an owner, without its shard. After 'moved' from the owner of epoch 1 and then from the next owner, which did not own the shard yet, or after a change of shard with equal epochs, the earlier copy was forgotten and a 'not run' of the last owner was passed on.

Change: the front keeps the set of shards and epochs reached; and it asks the newer owner when one is known and an earlier one says 'not run'. A front that does not know the newer owner yet still passes on the earlier owner's statement.

--- a/src/plugins/front/front.cpp
+++ b/src/plugins/front/front.cpp
@@ -226,7 +226,7 @@
     call.sent_at = now;
     call.work.timeout = std::max(duration{0}, call.deadline - now);
     // It had been accepted in time once; running it again needs a little time of its own.
-    if (call.ambiguous && call.work.idempotent)
+    if (!call.reached.empty() && call.work.idempotent)
         call.work.timeout = std::max(call.work.timeout, settings_.takeover_wait);
     if (route->local != nullptr)
         send_local(call, *route);
@@ -301,14 +301,24 @@
     call_state& call = it->second;
     call.in_flight = false;
     if (result.why == reason::moved) {
-        call.ambiguous = true;
-        call.ambiguous_epoch = epoch;
+        call.reached.emplace(call.shard, epoch);
+        note_disturbance(call);
+        try_again(call);
+        return;
+    }
+    // A newer owner may have started the request for another submission of the same ticket, which the
+    // earlier one does not know.
+    const std::optional<shard_route> route = view_.route(call.shard);
+    if (!call.work.idempotent && says_not_run(result) && route && route->epoch > epoch) {
         note_disturbance(call);
         try_again(call);
         return;
     }
     // Another owner's earlier copy of the request may have run, or may still run.
-    const bool other_copy = call.ambiguous && call.ambiguous_epoch != epoch && call.work.idempotent;
+    const std::pair<shard_id, shard_epoch> answering{call.shard, epoch};
+    const bool other_copy =
+        call.work.idempotent && std::any_of(call.reached.begin(), call.reached.end(),
+                                            [&](const auto& copy) { return copy != answering; });
     if (other_copy && says_not_run(result)) {
         finish(id, unknown(result.why, result.retry_after));
         return;
@@ -324,8 +334,7 @@
     call_state& call = it->second;
     call.in_flight = false;
     if (ec != peer_errc::not_connected && ec != peer_errc::refused) {
-        call.ambiguous = true;
-        call.ambiguous_epoch = epoch;
+        call.reached.emplace(call.shard, epoch);
     }
     note_disturbance(call);
     if (call.may_switch)
@@ -368,7 +377,7 @@
 void front::give_up(call_state& call)
 {
     // Nothing was handed to any owner, and an idempotent request has no earlier submission.
-    const bool nothing_sent = call.kind == call_kind::submit && call.work.idempotent && !call.ambiguous;
+    const bool nothing_sent = call.kind == call_kind::submit && call.work.idempotent && call.reached.empty();
     finish(call.id, nothing_sent ? refused(reason::shard_unreachable, not_ready_retry)
                                  : unknown(reason::shard_unreachable, not_ready_retry));
 }
--- a/src/plugins/front/front.h
+++ b/src/plugins/front/front.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mjm {
@@ -87,9 +88,9 @@
         timestamp sent_at;
         std::optional<timestamp> disturbed_since; ///< Since when no owner has held on to the call.
         bool in_flight = false;
-        bool may_switch = false;         ///< Idempotent, and its identifier has not been given to the caller.
-        bool ambiguous = false;          ///< An earlier copy may have reached an owner.
-        shard_epoch ambiguous_epoch = 0; ///< Epoch of that owner.
+        bool may_switch = false; ///< Idempotent, and its identifier has not been given to the caller.
+        /// Owners that an earlier copy may have reached, by shard and epoch.
+        std::set<std::pair<shard_id, shard_epoch>> reached;
         shard_epoch last_epoch = 0;
         std::set<shard_id> tried;
         answer_function done;
