Do not claim 'not run' for a cancelled request that may have an earlier copy

Cause: an idempotent request that was forwarded again after a takeover is admitted before the targets' lists are known. Cancelled in the queue, it was answered cancelled_not_run, although the earlier owner had run it.

Change: such a request ends as unknown (shard_recovering).

--- a/src/plugins/shard/request_table.h
+++ b/src/plugins/shard/request_table.h
@@ -48,6 +48,8 @@
     unsigned attempts = 0; ///< Starts sent, whether or not they arrived.
     unsigned runs = 0;     ///< Starts that may have run.
     bool cancel_requested = false;
+    /// Idempotent, and submitted while an earlier owner's tasks were not all known: it may have run there.
+    bool earlier_copy = false;
     task_id current; ///< Latest attempt, or the retained task.
     target_id current_target;
     std::set<target_id> failed_on;
--- a/src/plugins/shard/shard_owner.cpp
+++ b/src/plugins/shard/shard_owner.cpp
@@ -112,6 +112,7 @@
     record.deadline = record.enqueued + work.timeout;
     record.waiters.push_back(std::move(done));
     if (work.idempotent) {
+        record.earlier_copy = !targets_.all_fenced();
         admit(std::move(record));
         return;
     }
@@ -364,9 +365,7 @@
     if (record != nullptr && record->phase == request_phase::running && record->current == id) {
         --record->runs;
         if (record->cancel_requested) {
-            end(task->request,
-                record->runs == 0 ? outcome_kind::cancelled_not_run : outcome_kind::cancelled_running,
-                reason::none);
+            end_cancelled(*record);
         } else {
             // Only errors that point at an overload or a dead target cost retry budget.
             const bool spend = ec == target_errc::busy || ec == target_errc::not_connected;
@@ -589,8 +588,7 @@
     case request_phase::backing_off:
         queue_.cancel(id);
         record->waiters.push_back(std::move(done));
-        end(id, record->runs == 0 ? outcome_kind::cancelled_not_run : outcome_kind::cancelled_running,
-            reason::none);
+        end_cancelled(*record);
         break;
     case request_phase::running:
         cancel_running(*record, std::move(done));
@@ -683,6 +681,16 @@
     end(record.work.id, record.runs == 0 ? outcome_kind::refused_not_run : outcome_kind::unknown, why);
 }
 
+void shard_owner::end_cancelled(const request_record& record)
+{
+    if (record.runs > 0)
+        end(record.work.id, outcome_kind::cancelled_running, reason::none);
+    else if (record.earlier_copy)
+        end(record.work.id, outcome_kind::unknown, reason::shard_recovering);
+    else
+        end(record.work.id, outcome_kind::cancelled_not_run, reason::none);
+}
+
 void shard_owner::report(shard_event kind, const request_id& id, const team_id& team, const target_id& target,
                          std::string detail) const
 {
--- a/src/plugins/shard/shard_owner.h
+++ b/src/plugins/shard/shard_owner.h
@@ -126,6 +126,8 @@
     void end(const request_id& id, outcome_kind kind, reason why, std::string body = {});
     /// Ends a request that waits to be started: refused, or unknown when an earlier attempt may have run.
     void end_without_result(const request_record& record, reason why);
+    /// Ends a cancelled request of which no attempt runs.
+    void end_cancelled(const request_record& record);
     void report(shard_event kind, const request_id& id, const team_id& team, const target_id& target,
                 std::string detail) const;
     void update_demand();
