--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,7 +12,10 @@
 jobs=${MJM_JOBS:-$(nproc)}
 zones=3
 hosts_per_zone=2
-targets_per_zone=4
+targets_per_zone=6
+# Targets t0 to t2 serve lens in z1, t3 to t5 crew in z1, and so on.
+failing=1
+leaving=12
 load_seconds=36
 # Beyond this the demonstration is ended, whatever hangs.
 time_bound=150
@@ -89,24 +92,25 @@
 
 echo "== load of $load_seconds s, with faults"
 start load "$bin/mjm_load" run --plan "$out/plan.json" "${entries[@]}" --seconds "$load_seconds" --rate 6 \
-    --seed "${MJM_DEMO_SEED:-1}"
+    --seed "${MJM_DEMO_SEED:-1}" --requests-file "$out/requests.jsonl"
 sleep 4
-http POST "$(target_port 1)" /admin/faults '{"fail_all":true}' >/dev/null
-say "target t1 fails everything from now on"
+http POST "$(target_port "$failing")" /admin/faults '{"fail_all":true}' >/dev/null
+say "target t$failing fails everything from now on"
 sleep 4
 kill -KILL "${pid_of[z1h1]}"
+wait "${pid_of[z1h1]}" 2>/dev/null || true
 say "entry host z1h1 killed"
 sleep 6
 kill -TERM "${pid_of[z2h1]}"
 drain_began=$SECONDS
 say "entry host z2h1 begins to drain"
 sleep 3
-http POST "$(target_port 8)" /admin/leaving '{"on":true}' >/dev/null
-http PUT "$(platform_admin_port)" /admin/hosts "$(host_list 8)" >/dev/null
-say "target t8 leaves"
+http POST "$(target_port "$leaving")" /admin/leaving '{"on":true}' >/dev/null
+http PUT "$(platform_admin_port)" /admin/hosts "$(host_list "$leaving")" >/dev/null
+say "target t$leaving leaves"
 sleep 3
 starts_of() { http GET "$(target_port "$1")" /admin/state | grep -o '"/v1/tasks/start":[0-9]*' | cut -d: -f2; }
-starts_after_leaving=$(starts_of 8)
+starts_after_leaving=$(starts_of "$leaving")
 http POST "$(platform_admin_port)" /admin/faults '{"outage":"refuse"}' >/dev/null
 say "the platform's service is down"
 sleep 5
@@ -117,7 +121,7 @@
 say "the platform loses 20% of the answers to writes"
 sleep 5
 http POST "$(platform_admin_port)" /admin/faults '{"lose_answers":0.0}' >/dev/null
-http POST "$(target_port 1)" /admin/faults '{"fail_all":false}' >/dev/null
+http POST "$(target_port "$failing")" /admin/faults '{"fail_all":false}' >/dev/null
 say "no more faults; waiting for the outcomes"
 load_code=0
 wait "${pid_of[load]}" || load_code=$?
@@ -129,7 +133,7 @@
     drain_code=0
     wait "${pid_of[z2h1]}" || drain_code=$?
 fi
-starts_at_end=$(starts_of 8)
+starts_at_end=$(starts_of "$leaving")
 for name in z1h2 z2h2 z3h1 z3h2; do kill -TERM "${pid_of[$name]}"; done
 stops=0
 for name in z1h2 z2h2 z3h1 z3h2; do
@@ -140,8 +144,8 @@
 cat "$out/load.log"
 echo "drained host z2h1: asked at $((drain_began - began)) s, exit code $drain_code," \
     "$(grep -c . "$out/z2h1.timeline") events"
-echo "shard changes:"
-cat "$out"/*.timeline | grep -o '"kind":"shard_[a-z]*"' | sort | uniq -c || true
+echo "events of the entry hosts:"
+cat "$out"/*.timeline | grep -o '"kind":"[a-z_]*"' | cut -d'"' -f4 | sort | uniq -c
 
 echo "== checks"
 verdict "mjm_load: every outcome is true, limits hold (exit code $load_code)" [ "$load_code" = 0 ]
--- a/src/tools/mjm_load/load_report.cpp
+++ b/src/tools/mjm_load/load_report.cpp
@@ -121,6 +121,30 @@
     return out.str();
 }
 
+std::string request_lines(const load_result& result)
+{
+    std::ostringstream out;
+    for (const request_record& request : result.history.requests) {
+        json line{{"number", request.number},
+                  {"team", request.team.str()},
+                  {"service", request.service.str()},
+                  {"urgency", name_of(request.urgency)},
+                  {"idempotent", request.idempotent},
+                  {"asynchronous", request.asynchronous},
+                  {"cancelled", request.cancelled},
+                  {"submissions", request.submissions},
+                  {"submitted_us", request.submitted_us},
+                  {"latency_us", request.latency.count()},
+                  {"ids", json::array()},
+                  {"outcome", request.kind ? name_of(*request.kind) : "none"},
+                  {"reason", name_of(request.why)}};
+        for (const request_id& id : request.ids)
+            line["ids"].push_back(id.str());
+        out << line.dump() << '\n';
+    }
+    return out.str();
+}
+
 std::string json_report(const load_result& result, const std::vector<violation>& found)
 {
     json out{{"teams", json::object()},
--- a/src/tools/mjm_load/main.cpp
+++ b/src/tools/mjm_load/main.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <stdexcept>
 
 using namespace mjm;
 
@@ -22,6 +23,7 @@
     load_settings run;
     overhead_settings overhead;
     std::string plan_file;
+    std::string requests_file;
     std::vector<std::string> entries;
     std::vector<std::string> teams{"ann:1:12", "bob:1:12", "cat:2:20", "dan:1:12"};
     std::string store = "127.0.0.1:8500";
@@ -59,6 +61,8 @@
         throw CLI::ValidationError{"--max-run-ms", "below --min-run-ms"};
     const load_result result = run_load(line.run);
     const std::vector<violation> found = check_load(result.history);
+    if (!line.requests_file.empty() && !(std::ofstream{line.requests_file} << request_lines(result)).flush())
+        throw std::runtime_error{line.requests_file + " cannot be written"};
     std::cout << (line.json ? json_report(result, found) : text_report(result, found));
     return found.empty() ? exit_success : exit_violation;
 }
@@ -155,6 +159,7 @@
         ->check(CLI::Range(0, 500'000))
         ->capture_default_str();
     command.add_option("--seed", run.seed, "Seed of the load")->capture_default_str();
+    command.add_option("--requests-file", line.requests_file, "File for one JSON line for each request");
     command.add_flag("--json", line.json, "Report as JSON");
 }
 
