Keep roster and shards of a service at hand in the entry node

Change: the roster is copied 5 times a second, endpoints and shards by service are kept; lint findings in the entry, front and caller modules.

--- a/src/plugins/caller_api/caller_codec.cpp
+++ b/src/plugins/caller_api/caller_codec.cpp
@@ -18,7 +18,7 @@
 /// Reads members of an object and keeps the first error.
 class member_reader {
 public:
-    member_reader(const json& object, std::string base, std::set<std::string> known)
+    member_reader(const json& object, std::string base, const std::set<std::string>& known)
         : object_{object}, base_{std::move(base)}
     {
         if (!object.is_object()) {
--- a/src/plugins/entry/entry_node.cpp
+++ b/src/plugins/entry/entry_node.cpp
@@ -64,6 +64,10 @@
     membership_.tick(now);
     replica_.tick(now);
     drive_commits();
+    if (now >= next_roster_) {
+        next_roster_ = now + settings_.roster_interval;
+        refresh_roster();
+    }
     update_freshness();
     watch_changes();
     for (auto& [shard, owned] : owned_)
@@ -82,7 +86,11 @@
 
 void entry_node::install(const std::shared_ptr<const fleet_config>& config)
 {
-    membership_.set_shards(config->shards());
+    const std::set<shard_id> shards = config->shards();
+    membership_.set_shards(shards);
+    shards_of_.clear();
+    for (const shard_id& shard : shards)
+        shards_of_[shard.service].push_back(shard);
     membership_.set_config_version(config->version);
     progress_.committed(config->version, services_.time.now());
     freshness_.set_version(config->version);
@@ -131,11 +139,16 @@
     const std::optional<shard_owner_record> record = membership_.owner_of(shard);
     if (!record || record->owner == settings_.self.endpoint.id)
         return std::nullopt;
-    for (const member& peer : membership_.members()) {
-        if (peer.endpoint.id == record->owner)
-            return shard_route{record->epoch, peer.endpoint, nullptr};
-    }
-    return std::nullopt;
+    const auto peer = endpoints_.find(record->owner);
+    return peer == endpoints_.end() ? std::nullopt
+                                    : std::optional{shard_route{record->epoch, peer->second, nullptr}};
+}
+
+const std::vector<shard_id>& entry_node::shards_of(const service_id& service) const
+{
+    static const std::vector<shard_id> none;
+    const auto found = shards_of_.find(service);
+    return found == shards_of_.end() ? none : found->second;
 }
 
 std::optional<shard_load> entry_node::load(const shard_id& shard) const
@@ -175,22 +188,28 @@
     return contact && services_.time.now() - *contact <= settings_.freshness.fresh_for;
 }
 
-void entry_node::update_freshness()
+void entry_node::refresh_roster()
 {
-    std::map<host_id, zone_id> committers;
+    roster_ = membership_.members();
+    endpoints_.clear();
+    std::map<host_id, zone_id> committers{{settings_.self.endpoint.id, settings_.self.zone}};
     std::set<host_id> hosts;
-    for (const member& peer : membership_.members()) {
+    for (const member& peer : roster_) {
+        endpoints_[peer.endpoint.id] = peer.endpoint;
         committers[peer.endpoint.id] = peer.zone;
         hosts.insert(peer.endpoint.id);
     }
-    committers[settings_.self.endpoint.id] = settings_.self.zone;
     freshness_.set_committers(committers, settings_.self.endpoint.id);
+    if (!hosts.empty())
+        fleet_.forget_except(hosts);
+}
+
+void entry_node::update_freshness()
+{
     freshness_.set_self_unreachable(!store_reachable());
     freshness_.set_commit_outstanding(promise_.outstanding_since());
     if (const std::optional<timestamp> confirmed = replica_.last_confirmed())
         freshness_.confirmed_at(*confirmed);
-    if (!hosts.empty())
-        fleet_.forget_except(hosts);
 }
 
 status_message entry_node::own_status()
@@ -218,7 +237,7 @@
     if (now >= next_progress_) {
         next_progress_ = now + settings_.progress_interval;
         std::map<host_id, std::uint64_t> versions;
-        for (const member& peer : membership_.members())
+        for (const member& peer : roster_)
             versions[peer.endpoint.id] = peer.config_version;
         if (store_reachable())
             progress_.observe(versions, now);
@@ -232,7 +251,7 @@
 void entry_node::exchange_status()
 {
     std::vector<member> peers;
-    for (const member& peer : membership_.members()) {
+    for (const member& peer : roster_) {
         if (peer.endpoint.id != settings_.self.endpoint.id)
             peers.push_back(peer);
     }
--- a/src/plugins/entry/entry_node.h
+++ b/src/plugins/entry/entry_node.h
@@ -31,6 +31,8 @@
     front_settings front;
     duration status_interval{std::chrono::seconds{1}};
     std::size_t status_fanout = 2;
+    /// The roster itself is read once a second; copying it at each tick cost most of an idle host's time.
+    duration roster_interval{std::chrono::milliseconds{200}};
     duration progress_interval{std::chrono::seconds{1}};
     duration month_interval{std::chrono::minutes{1}};
     duration host_list_interval{std::chrono::seconds{5}};
@@ -96,6 +98,7 @@
 private:
     [[nodiscard]] key_policy keys() const override { return freshness_.policy(services_.time.now()); }
     [[nodiscard]] std::optional<shard_route> route(const shard_id& shard) const override;
+    [[nodiscard]] const std::vector<shard_id>& shards_of(const service_id& service) const override;
     [[nodiscard]] std::optional<shard_load> load(const shard_id& shard) const override;
     [[nodiscard]] const zone_id& zone() const override { return settings_.self.zone; }
 
@@ -103,6 +106,7 @@
     void gain(const shard_id& shard, shard_epoch epoch);
     void lose(const shard_id& shard);
     void update_freshness();
+    void refresh_roster();
     void exchange_status();
     void send_status(const member& peer);
     void receive_status(const status_message& message, std::optional<timestamp> asked);
@@ -134,6 +138,10 @@
     std::optional<std::vector<listed_host>> listed_; ///< As last read, at `listed_at_`.
     timestamp listed_at_;
     std::map<target_id, timestamp> unlisted_since_;
+    std::vector<member> roster_;                            ///< Refreshed at `roster_interval`.
+    std::map<host_id, peer_endpoint> endpoints_;            ///< Of the roster.
+    std::map<service_id, std::vector<shard_id>> shards_of_; ///< Of the configuration in force.
+    timestamp next_roster_;
     timestamp next_status_;
     timestamp next_host_list_;
     timestamp next_progress_;
--- a/src/plugins/entry/tests/fleet_fixture.cpp
+++ b/src/plugins/entry/tests/fleet_fixture.cpp
@@ -312,9 +312,9 @@
     return issued ? issued->at(0) : std::string{};
 }
 
-std::shared_ptr<submission> fleet_fixture::submit(const std::string& host, caller_request request)
+std::shared_ptr<submission> fleet_fixture::submit(const std::string& host, const caller_request& request)
 {
-    const std::shared_ptr<submission> result = std::make_shared<submission>();
+    std::shared_ptr<submission> result = std::make_shared<submission>();
     result->ticket = request.ticket;
     node(host).callers().submit(request, {}, [result](const caller_answer& answer) {
         result->id = answer.id;
--- a/src/plugins/entry/tests/fleet_fixture.h
+++ b/src/plugins/entry/tests/fleet_fixture.h
@@ -75,8 +75,8 @@
     /// Ends a task this long after its start; set before submitting. Zero leaves tasks to the test.
     void set_run_time(duration d) { run_time_ = d; }
 
-    void kill(const std::string& host);
-    void restart(const std::string& host);
+    void kill(const std::string& id);
+    void restart(const std::string& id);
     /// A paused host neither ticks nor sends; messages to it wait.
     void pause(const std::string& host, bool on);
     [[nodiscard]] bool paused(const std::string& host) const { return nodes_.at(host).paused; }
@@ -87,14 +87,14 @@
     void cut_from_store(const std::string& host, bool on) { nodes_.at(host).store->set_cut(on); }
     void partition_zones(const std::string& a, const std::string& b, bool on);
     /// Commits a configuration directly in the store.
-    void commit(const fleet_config& config);
+    void commit(const fleet_config& committed);
 
     [[nodiscard]] entry_node& node(const std::string& host) { return *nodes_.at(host).node; }
     [[nodiscard]] bool alive(const std::string& host) const { return nodes_.at(host).node != nullptr; }
     [[nodiscard]] std::vector<std::string> hosts() const;
     [[nodiscard]] std::string owner_of(const shard_id& shard);
 
-    std::shared_ptr<submission> submit(const std::string& host, caller_request call);
+    std::shared_ptr<submission> submit(const std::string& host, const caller_request& request);
     [[nodiscard]] static caller_request call(const std::string& team, bool idempotent,
                                              const std::string& ticket = {});
     [[nodiscard]] std::string ticket(const std::string& host, const std::string& team);
--- a/src/plugins/entry/tests/tst_entry_node.cpp
+++ b/src/plugins/entry/tests/tst_entry_node.cpp
@@ -153,6 +153,7 @@
     fleet.run(5s);
     const std::string owner = fleet.owner_of(lens_z1);
     std::vector<std::shared_ptr<submission>> all;
+    all.reserve(50);
     for (int i = 0; i < 40; ++i)
         all.push_back(fleet.submit(owner, fleet_fixture::call("t1", true)));
     for (int i = 0; i < 10; ++i)
--- a/src/plugins/front/front.cpp
+++ b/src/plugins/front/front.cpp
@@ -116,7 +116,7 @@
 
     const request_id id = state.work.id;
     const service_id service = call.service;
-    const team_id owner = *team;
+    const team_id& owner = *team;
     const bool wants_ticket = !call.idempotent;
     state.deadline = time_.now() + call.timeout;
     state.done = [this, done = std::move(done), service, owner, wants_ticket](const caller_answer& answer) {
--- a/src/plugins/front/routing_view.h
+++ b/src/plugins/front/routing_view.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace mjm {
 
@@ -29,6 +30,8 @@
     [[nodiscard]] virtual std::shared_ptr<const fleet_config> config() const = 0;
     [[nodiscard]] virtual key_policy keys() const = 0;
     [[nodiscard]] virtual std::optional<shard_route> route(const shard_id& shard) const = 0;
+    /// Shards of a service in all zones; empty when there is none.
+    [[nodiscard]] virtual const std::vector<shard_id>& shards_of(const service_id& service) const = 0;
     /// Last known load; nothing when it was never heard of.
     [[nodiscard]] virtual std::optional<shard_load> load(const shard_id& shard) const = 0;
     [[nodiscard]] virtual const zone_id& zone() const = 0;
--- a/src/plugins/front/shard_chooser.cpp
+++ b/src/plugins/front/shard_chooser.cpp
@@ -37,13 +37,10 @@
 std::optional<shard_id> choose_shard(const routing_view& view, const service_id& service,
                                      const std::set<shard_id>& avoid, random_source& random)
 {
-    const std::shared_ptr<const fleet_config> config = view.config();
-    if (!config)
-        return std::nullopt;
     std::vector<weighted_shard> candidates;
     double total = 0.0;
-    for (const shard_id& shard : config->shards()) {
-        if (shard.service != service || avoid.contains(shard) || !view.route(shard))
+    for (const shard_id& shard : view.shards_of(service)) {
+        if (avoid.contains(shard) || !view.route(shard))
             continue;
         const std::optional<shard_load> load = view.load(shard);
         if (shard.zone == view.zone() && (!load || estimated_wait_s(*load) <= local_wait_tolerance_s))
