--- a/src/plugins/entry/tests/fleet_fixture.cpp
+++ b/src/plugins/entry/tests/fleet_fixture.cpp
@@ -87,6 +87,8 @@
 
 fleet_fixture::fleet_fixture(const fleet_options& options) : random{options.seed}
 {
+    if (options.wrap_targets)
+        wrapped_targets = options.wrap_targets(targets);
     previous_handler_ = set_invariant_handler([this](invariant which, const std::string& detail) {
         violations.push_back(std::string{name_of(which)} + " " + detail);
     });
@@ -158,7 +160,8 @@
     host.paused = false;
     host.link = std::make_shared<host_link>(host.self.endpoint.id.str(), observer);
     host.linked_to_store = std::make_unique<linked_store>(host.link, *host.store);
-    host.linked_to_targets = std::make_unique<linked_targets>(host.link, targets);
+    host.linked_to_targets = std::make_unique<linked_targets>(
+        host.link, wrapped_targets ? *wrapped_targets : static_cast<target_client&>(targets));
     host.linked_to_peers = std::make_unique<linked_peers>(host.link, *host.peers);
     host.linked_to_list = std::make_unique<linked_host_list>(host.link, host_list);
     entry_node_settings settings;
--- a/src/plugins/entry/tests/fleet_fixture.h
+++ b/src/plugins/entry/tests/fleet_fixture.h
@@ -59,6 +59,8 @@
     std::int64_t team_limit = 100;
     std::uint64_t seed = 1;
     target_model_settings target{};
+    /// Puts a faulty client before the targets, to show that a check finds what it does wrong.
+    std::function<std::unique_ptr<target_client>(target_client&)> wrap_targets{};
 };
 
 /// Entry hosts, targets and the platform in one thread and virtual time. One service `lens`, one open
@@ -110,6 +112,7 @@
     call_pump pump;
     fake_kv_store store{pump, time};
     fake_target targets{pump, time};
+    std::unique_ptr<target_client> wrapped_targets;
     fake_peer_network peers{pump};
     fake_host_list host_list{pump};
     fleet_config config;
--- a/src/plugins/entry/tests/random_fleet.cpp
+++ b/src/plugins/entry/tests/random_fleet.cpp
@@ -1,7 +1,5 @@
 #include "random_fleet.h"
 
-#include "permits/permit_document.h"
-
 #include <algorithm>
 #include <array>
 #include <sstream>
@@ -25,10 +23,11 @@
 /// Without a limit of its own, a target shows whether the owners keep to theirs.
 constexpr std::int64_t slots_of_model = 64;
 
-fleet_options options_for(std::uint64_t seed)
+fleet_options options_for(const random_fleet_settings& settings)
 {
     fleet_options options;
-    options.seed = seed;
+    options.seed = settings.seed;
+    options.wrap_targets = settings.wrap_targets;
     options.team_limit = 12;
     options.target.slots = slots_of_model;
     return options;
@@ -37,7 +36,7 @@
 } // namespace
 
 random_fleet::random_fleet(const random_fleet_settings& settings)
-    : settings_{settings}, dice_{settings.seed ^ 0x9e3779b97f4a7c15ULL}, fleet_{options_for(settings.seed)},
+    : settings_{settings}, dice_{settings.seed ^ 0x9e3779b97f4a7c15ULL}, fleet_{options_for(settings)},
       messages_{fleet_.pump, fleet_.time, dice_}
 {
     fleet_.observer = this;
@@ -216,7 +215,9 @@
     call.body = work;
     const std::size_t n = history_.submitted(host, work, call.key, call.idempotent, fleet_.time.now());
     const std::uint64_t incarnation = incarnations_[host];
-    const auto done = [this, n, host, incarnation](const caller_answer& answer) {
+    const auto done = [this, n, host, incarnation](caller_answer answer) {
+        if (settings_.alter_answer)
+            settings_.alter_answer(answer);
         if (incarnations_[host] == incarnation)
             history_.answered(n, answer.id, answer.result, fleet_.time.now());
     };
--- a/src/plugins/entry/tests/random_fleet.h
+++ b/src/plugins/entry/tests/random_fleet.h
@@ -18,6 +18,9 @@
     duration fault_time{std::chrono::seconds{60}};
     duration mean_between_submissions{std::chrono::milliseconds{150}};
     duration mean_between_faults{std::chrono::seconds{4}};
+    std::function<std::unique_ptr<target_client>(target_client&)> wrap_targets{};
+    /// Changes answers before they are recorded, as a faulty front would.
+    std::function<void(caller_answer&)> alter_answer{};
 };
 
 /// One randomised run over a fleet of entry nodes: load and overlapping faults, then a time without faults
