Let a result found after a takeover win over a stopped or running attempt

Cause: a new owner took a task that a target reports as stopped for a cancelled request, and the last report for the current attempt. A task also stops with its lease, or because another attempt of an idempotent request had completed. So a request that had been answered completed was told cancelled_running by the next owner.

Change: a stopped task ends as unknown, and a finished one reported by another target replaces that, or an adopted attempt that still runs. A running attempt of a request whose result is retained is accounted for and no longer replaces the record.

--- a/src/plugins/shard/shard_owner.cpp
+++ b/src/plugins/shard/shard_owner.cpp
@@ -510,16 +510,10 @@
     if (known.state == task_state::never_started || tasks_.find(known.task) != nullptr)
         return;
     request_record* record = requests_.find(known.request);
-    if (record != nullptr && record->phase != request_phase::recovering &&
-        record->phase != request_phase::retained) {
-        // An idempotent request that was submitted again before this list arrived: the earlier attempt
-        // still holds a slot and a permit.
-        if (known.state == task_state::running)
-            make_attempt(*record, known.task, target, true);
+    if (record != nullptr && record->phase != request_phase::recovering) {
+        adopt_again(*record, target, known);
         return;
     }
-    if (record != nullptr && record->phase == request_phase::retained && known.state != task_state::running)
-        return;
 
     request_record adopted;
     if (record != nullptr)
@@ -529,6 +523,7 @@
     adopted.work.service = shard_.service;
     // Whether it may run again is not known any more, so it is treated as not idempotent.
     adopted.work.idempotent = false;
+    adopted.adopted = true;
     adopted.attempts = 1;
     adopted.runs = 1;
     adopted.enqueued = env_.time.now();
@@ -541,7 +536,9 @@
     recovering_.erase(known.request);
     request_record& stored = requests_.add(std::move(adopted));
     if (known.state == task_state::stopped) {
-        end(known.request, outcome_kind::cancelled_running, reason::none);
+        // It may have been stopped by a cancellation, for another attempt that had ended, or by the end of
+        // its lease.
+        end(known.request, outcome_kind::unknown, reason::target_lost);
     } else if (known.state == task_state::running) {
         report(shard_event::adopted, known.request, known.team, target, known.task.str());
         make_attempt(stored, known.task, target, true);
@@ -550,6 +547,27 @@
     }
 }
 
+void shard_owner::adopt_again(request_record& record, const target_id& target, const task_report& known)
+{
+    // An idempotent request has several attempts, or was submitted again before this list arrived: an
+    // attempt that runs still holds a slot and a permit.
+    if (known.state == task_state::running)
+        make_attempt(record, known.task, target, true);
+    if (known.state != task_state::finished || record.phase == request_phase::retained)
+        return;
+    const bool ended_unknown =
+        record.phase == request_phase::ended && record.result.kind == outcome_kind::unknown;
+    const bool adopted_other = record.phase == request_phase::running && record.adopted;
+    if (!ended_unknown && !adopted_other)
+        return;
+    // A result takes precedence over an attempt that was stopped or still runs.
+    record.phase = request_phase::retained;
+    record.current = known.task;
+    record.current_target = target;
+    if (!record.waiters.empty())
+        fetch_retained(record);
+}
+
 void shard_owner::fetch_retained(request_record& record)
 {
     const request_id id = record.work.id;
