--- a/src/plugins/entry/tests/random_fleet.cpp
+++ b/src/plugins/entry/tests/random_fleet.cpp
@@ -311,6 +311,8 @@
         out << "violation " << it << '\n';
         std::istringstream words{it};
         for (std::string word; words >> word;) {
+            while (!word.empty() && word.back() == ':')
+                word.pop_back();
             if (word.starts_with('w') && works.insert(word).second)
                 out << history_.trace(word);
         }
