Answer 'moved' for a ticketed request whose start a newer lease refused

Cause: after a start was refused as fenced, an owner that had not noticed its successor ended the request by its own table.

Change: only the next owner can tell, so the front is sent there.

--- a/src/plugins/shard/shard_owner.cpp
+++ b/src/plugins/shard/shard_owner.cpp
@@ -364,7 +364,10 @@
     request_record* record = requests_.find(task->request);
     if (record != nullptr && record->phase == request_phase::running && record->current == id) {
         --record->runs;
-        if (record->cancel_requested) {
+        if (ec == target_errc::fenced && !record->work.idempotent) {
+            // The next owner may have run it for another submission of the ticket; only it can tell.
+            requests_.end_and_forget(task->request, refused(reason::moved));
+        } else if (record->cancel_requested) {
             end_cancelled(*record);
         } else {
             // Only errors that point at an overload or a dead target cost retry budget.
