--- a/src/plugins/maintenance/wave_controller.cpp
+++ b/src/plugins/maintenance/wave_controller.cpp
@@ -213,7 +213,7 @@
                     for (const kv_entry& it : *result) {
                         std::optional<wave_document> wave = maintenance_codec::wave(it.value);
                         if (wave && wave_key(wave->id) == it.key)
-                            me->waves_[wave->id] = {std::move(*wave), it.revision};
+                            me->waves_[wave->id] = {*wave, it.revision};
                         else
                             me->unreadable_.insert(it.key);
                     }
@@ -292,6 +292,8 @@
                 me->uncertain_.insert(key);
             if (result.error() != store_errc::conflict)
                 me->retry_at_ = me->now_ + me->settings_.retry_interval;
+            // Bounds the calls of two controllers that write the same document to one attempt each tick.
+            return;
         }
         me->next();
     });
