--- a/src/plugins/maintenance/tests/maintenance_fleet.h
+++ b/src/plugins/maintenance/tests/maintenance_fleet.h
@@ -98,10 +98,10 @@
     [[nodiscard]] bool is_up(const target_id& id) const;
     [[nodiscard]] std::size_t active_controllers() const;
 
-    void request_reboot(const target_id& host, const std::string& boot, request_callback done) override;
-    void state(const target_id& host, state_callback done) override;
-    void run_probe(const target_id& host, std::function<void(bool)> done) override;
-    void end_tasks(const target_id& host, drain_policy policy) override;
+    void request_reboot(const target_id& id, const std::string& boot, request_callback done) override;
+    void state(const target_id& id, state_callback done) override;
+    void run_probe(const target_id& id, std::function<void(bool)> done) override;
+    void end_tasks(const target_id& id, drain_policy policy) override;
 
     fleet_config config;
     seeded_random random;
--- a/src/plugins/maintenance/tests/tst_wave_random.cpp
+++ b/src/plugins/maintenance/tests/tst_wave_random.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+const std::vector<std::string> nothing;
+
 void disturb(maintenance_fleet& fleet)
 {
     random_source& random = fleet.random;
@@ -99,7 +101,7 @@
         }
         CHECK(finished);
         fleet.run(1min);
-        CHECK(fleet.faults_found == std::vector<std::string>{});
+        CHECK(fleet.faults_found == nothing);
         CHECK(fleet.cordons().hosts.empty());
         for (const auto& [pool, record] : fleet.config.pools)
             CHECK(fleet.budget(pool).taken.empty());
--- a/src/plugins/maintenance/wave_commands.cpp
+++ b/src/plugins/maintenance/wave_commands.cpp
@@ -102,18 +102,18 @@
 
 wave_commands::~wave_commands() = default;
 
-void wave_commands::create(const wave_document& wave, callback done)
+void wave_commands::create(const wave_document& wave, const callback& done)
 {
     impl_->create(wave, done);
 }
 
-void wave_commands::read(const std::string& id, callback done)
+void wave_commands::read(const std::string& id, const callback& done)
 {
     impl_->apply(
         id, [](const wave_document&) { return true; }, 1, done);
 }
 
-void wave_commands::pause(const std::string& id, callback done)
+void wave_commands::pause(const std::string& id, const callback& done)
 {
     impl_->apply(
         id,
@@ -125,7 +125,7 @@
         max_attempts, done);
 }
 
-void wave_commands::resume(const std::string& id, callback done)
+void wave_commands::resume(const std::string& id, const callback& done)
 {
     impl_->apply(
         id,
@@ -142,7 +142,7 @@
         max_attempts, done);
 }
 
-void wave_commands::abort(const std::string& id, callback done)
+void wave_commands::abort(const std::string& id, const callback& done)
 {
     impl_->apply(
         id,
@@ -154,7 +154,7 @@
         max_attempts, done);
 }
 
-void wave_commands::set_speed(const std::string& id, const wave_speed& speed, callback done)
+void wave_commands::set_speed(const std::string& id, const wave_speed& speed, const callback& done)
 {
     impl_->apply(
         id,
@@ -166,7 +166,7 @@
         max_attempts, done);
 }
 
-void wave_commands::retry(const std::string& id, const target_id& host, callback done)
+void wave_commands::retry(const std::string& id, const target_id& host, const callback& done)
 {
     impl_->apply(
         id,
--- a/src/plugins/maintenance/wave_commands.h
+++ b/src/plugins/maintenance/wave_commands.h
@@ -35,16 +35,16 @@
     wave_commands& operator=(const wave_commands&) = delete;
 
     /// `exists` may also mean that an earlier submission with a lost answer took effect.
-    void create(const wave_document& wave, callback done);
-    void read(const std::string& id, callback done);
-    void pause(const std::string& id, callback done);
+    void create(const wave_document& wave, const callback& done);
+    void read(const std::string& id, const callback& done);
+    void pause(const std::string& id, const callback& done);
     /// Also after `stopped`: failures so far no longer stop the wave.
-    void resume(const std::string& id, callback done);
-    void abort(const std::string& id, callback done);
-    void set_speed(const std::string& id, const wave_speed& speed, callback done);
+    void resume(const std::string& id, const callback& done);
+    void abort(const std::string& id, const callback& done);
+    void set_speed(const std::string& id, const wave_speed& speed, const callback& done);
     /// Takes a failed host through reboot (unless it has rebooted) and verification again; it returns to
     /// service when that succeeds.
-    void retry(const std::string& id, const target_id& host, callback done);
+    void retry(const std::string& id, const target_id& host, const callback& done);
 
 private:
     class impl;
--- a/src/plugins/maintenance/wave_controller.cpp
+++ b/src/plugins/maintenance/wave_controller.cpp
@@ -60,6 +60,7 @@
     void tick(timestamp now);
     [[nodiscard]] host_watch& watch() { return watch_; }
     [[nodiscard]] const controller_role& role() const { return role_; }
+    [[nodiscard]] const std::set<std::string>& unreadable() const { return unreadable_; }
 
 private:
     /// Owners that must obey a version of the cordons for one host.
@@ -841,6 +842,11 @@
     return impl_->role().held();
 }
 
+const std::set<std::string>& wave_controller::unreadable() const
+{
+    return impl_->unreadable();
+}
+
 std::uint64_t wave_controller::epoch() const
 {
     return impl_->role().epoch();
--- a/src/plugins/maintenance/wave_controller.h
+++ b/src/plugins/maintenance/wave_controller.h
@@ -52,6 +52,8 @@
 
     [[nodiscard]] bool active() const;
     [[nodiscard]] std::uint64_t epoch() const;
+    /// Keys of waves and budgets that could not be decoded; the controller leaves them alone.
+    [[nodiscard]] const std::set<std::string>& unreadable() const;
 
 private:
     class impl;
