--- a/src/plugins/maintenance/wave_controller.cpp
+++ b/src/plugins/maintenance/wave_controller.cpp
@@ -112,7 +112,7 @@
     [[nodiscard]] budget_document budget_of(const pool_id& pool) const;
     [[nodiscard]] bool has_permit(const std::string& wave, const target_id& id) const;
     [[nodiscard]] bool cordoned(const target_id& id) const { return cordons_.value.hosts.contains(id); }
-    [[nodiscard]] std::uint64_t wanted_version(const target_id& id, const local_host& local) const;
+    [[nodiscard]] std::uint64_t wanted_version(const target_id& id, const local_host& seen) const;
     [[nodiscard]] wait_reason take_refusal(const wave_document& wave, const target_id& id,
                                            const out_counts& out) const;
     [[nodiscard]] out_counts count_out(const wave_document& wave) const;
@@ -431,9 +431,9 @@
 {
     for (const auto& [pool, budget] : budgets_) {
         budget_document document = budget.value;
-        std::erase_if(document.taken, [&](const auto& it) {
+        std::erase_if(document.taken, [this, &owner = pool](const auto& it) {
             const target_record* record = record_of(it.first);
-            const bool moved = record == nullptr || record->pool != pool;
+            const bool moved = record == nullptr || record->pool != owner;
             return !cordoned(it.first) && (may_forget(it.second.wave, it.first) || moved);
         });
         if (document != budget.value)
--- a/src/tools/mjm_bench/rollout_simulation.cpp
+++ b/src/tools/mjm_bench/rollout_simulation.cpp
@@ -44,9 +44,9 @@
             std::uint64_t seed);
     rollout_result run();
 
-    void request_reboot(const target_id& host, const std::string& boot, request_callback done) override;
-    void state(const target_id& host, state_callback done) override;
-    void run_probe(const target_id& host, std::function<void(bool)> done) override;
+    void request_reboot(const target_id& id, const std::string& boot, request_callback done) override;
+    void state(const target_id& id, state_callback done) override;
+    void run_probe(const target_id& id, std::function<void(bool)> done) override;
     void end_tasks(const target_id&, drain_policy) override {}
 
 private:
@@ -76,6 +76,7 @@
     timestamp demand_start_;
     std::vector<std::deque<arrival>> queues_;
     std::map<target_id, worker> workers_;
+    std::vector<std::vector<std::map<target_id, worker>::iterator>> shard_workers_;
     std::multimap<timestamp, running_task> tasks_;
     std::multimap<timestamp, std::function<void()>> events_;
     timestamp now_;
@@ -93,7 +94,8 @@
 rollout::rollout(const deployment& where, rollout_method method, const rollout_settings& settings,
                  std::uint64_t seed)
     : where_{where}, method_{method}, settings_{settings}, random_{seed},
-      queues_(where.workers_per_shard.size()), store_{seed}, client_{store_.connect()}
+      queues_(where.workers_per_shard.size()),
+      shard_workers_(where.workers_per_shard.size()), store_{seed}, client_{store_.connect()}
 {
     const demand_settings recorded;
     demand_ = record_demand(where, recorded, seed);
@@ -108,7 +110,9 @@
             record.rack = rack_id{"r" + std::to_string(n / hosts_per_rack)};
             record.pool = pool;
             config_.targets[record.endpoint.id] = record;
-            workers_[record.endpoint.id].shard = shard;
+            const auto added = workers_.try_emplace(record.endpoint.id).first;
+            added->second.shard = shard;
+            shard_workers_[shard].push_back(added);
             ++hosts;
         }
     }
@@ -132,9 +136,9 @@
     for (std::size_t n = 0; n < std::min(queue.size(), backfill_depth);) {
         const arrival& it = queue[n];
         auto best = workers_.end();
-        for (auto candidate = workers_.begin(); candidate != workers_.end(); ++candidate) {
+        for (const auto& candidate : shard_workers_[shard]) {
             const worker& w = candidate->second;
-            if (w.shard == shard && serves(w) && where_.slots_per_worker - w.used >= it.slots &&
+            if (serves(w) && where_.slots_per_worker - w.used >= it.slots &&
                 (best == workers_.end() || w.used < best->second.used))
                 best = candidate;
         }
@@ -196,7 +200,7 @@
             it.down_until = now_ + settings_.failure_length;
             it.used = 0;
             it.tasks = 0;
-            std::erase_if(tasks_, [&](const auto& task) { return task.second.host == id; });
+            std::erase_if(tasks_, [&failed = id](const auto& task) { return task.second.host == failed; });
         }
     }
 }
