--- a/src/plugins/shard/shard_owner.h
+++ b/src/plugins/shard/shard_owner.h
@@ -118,7 +118,7 @@
 
     void target_opened(const target_id& target, const lease_grant& grant, bool rebooted);
     void target_tasks_ended(const target_id& target);
-    void adopt(const target_id& target, const task_report& report);
+    void adopt(const target_id& target, const task_report& known);
     void adopt_again(request_record& record, const target_id& target, const task_report& known);
     void fetch_retained(request_record& record);
     void make_attempt(const request_record& record, const task_id& id, const target_id& target, bool adopted);
