--- a/src/plugins/entry/tests/faulty_targets.h
+++ b/src/plugins/entry/tests/faulty_targets.h
@@ -124,7 +124,7 @@
                result_callback done) override
     {
         target_calls_base::start(target, token, order,
-                                 [done = std::move(done)](tl::expected<task_result, target_errc>) {
+                                 [done = std::move(done)](const tl::expected<task_result, target_errc>&) {
                                      done(tl::unexpected{target_errc::busy});
                                  });
     }
--- a/src/plugins/entry/tests/random_faults.cpp
+++ b/src/plugins/entry/tests/random_faults.cpp
@@ -211,7 +211,7 @@
 void random_fleet::fault_target()
 {
     const target_id id = any_of(fleet_.config.targets).first;
-    const std::string subject = id.str();
+    const std::string& subject = id.str();
     if (busy(subject))
         return;
     switch (dice_.below(6)) {
