--- a/scripts/demo_lib.sh
+++ b/scripts/demo_lib.sh
@@ -42,7 +42,7 @@
 }
 
 is_ready() { http GET "$1" /readyz | grep -q '"ready":true'; }
-is_listening() { grep -q '"event":"listening"' "$out/$1.log"; }
+is_listening() { grep -q '"event":"listening"' "$out/$1.log" 2>/dev/null; }
 
 platform_port() { echo "$base"; }
 platform_admin_port() { echo $((base + 1)); }
--- a/src/tools/mjm_load/load_checks.cpp
+++ b/src/tools/mjm_load/load_checks.cpp
@@ -148,7 +148,7 @@
     return checker{history}.run();
 }
 
-std::int64_t peak_overlap(std::vector<std::pair<std::int64_t, std::int64_t>> intervals)
+std::int64_t peak_overlap(const std::vector<std::pair<std::int64_t, std::int64_t>>& intervals)
 {
     std::vector<std::pair<std::int64_t, int>> edges;
     edges.reserve(intervals.size() * 2);
--- a/src/tools/mjm_load/load_checks.h
+++ b/src/tools/mjm_load/load_checks.h
@@ -100,7 +100,7 @@
 [[nodiscard]] std::vector<violation> check_load(const load_history& history);
 
 /// Most intervals open at once; one that ends when another starts does not overlap it.
-[[nodiscard]] std::int64_t peak_overlap(std::vector<std::pair<std::int64_t, std::int64_t>> intervals);
+[[nodiscard]] std::int64_t peak_overlap(const std::vector<std::pair<std::int64_t, std::int64_t>>& intervals);
 
 /// Request identifier that a submission with this ticket gets; nothing when the ticket is malformed.
 [[nodiscard]] std::optional<request_id> id_of_ticket(std::string_view ticket);
--- a/src/tools/mjm_load/load_report.cpp
+++ b/src/tools/mjm_load/load_report.cpp
@@ -64,8 +64,9 @@
 {
     std::map<std::string, std::size_t> counts;
     for (const auto& [check, name] : enum_names<load_check>::entries)
-        counts[std::string{name}] = static_cast<std::size_t>(std::count_if(
-            found.begin(), found.end(), [&](const violation& it) { return it.check == check; }));
+        counts[std::string{name}] = 0;
+    for (const violation& it : found)
+        ++counts[std::string{name_of(it.check)}];
     return counts;
 }
 
