--- a/src/plugins/caller_api/caller_codec.cpp
+++ b/src/plugins/caller_api/caller_codec.cpp
@@ -1,5 +1,7 @@
 #include "caller_api/caller_codec.h"
 
+#include "platform/error_body.h"
+
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -183,6 +185,8 @@
 http_response encode_answer(const caller_answer& answer)
 {
     const outcome& result = answer.result;
+    if (answer.call_refused)
+        return error_response(http_status(result.kind, result.why), name_of(result.why));
     json body;
     if (!answer.id.empty())
         body["id"] = answer.id.str();
--- a/src/plugins/entry/entry_node.cpp
+++ b/src/plugins/entry/entry_node.cpp
@@ -408,9 +408,12 @@
     return draining_ && membership_.has_left() && owned_.empty() && front_.outstanding() == 0;
 }
 
-bool entry_node::ready() const
+bool entry_node::knows_owners() const
 {
-    return !draining_ && replica_.current() != nullptr;
+    return !shards_of_.empty() && std::all_of(shards_of_.begin(), shards_of_.end(), [this](const auto& it) {
+        return std::any_of(it.second.begin(), it.second.end(),
+                           [this](const shard_id& shard) { return route(shard).has_value(); });
+    });
 }
 
 node_status entry_node::status() const
@@ -450,6 +453,8 @@
 
 void entry_node::watch_changes()
 {
+    // Readiness is not lost again with a service's last owner: other services can still be served.
+    was_ready_ = was_ready_ || knows_owners();
     const bool reachable = store_reachable();
     if (reachable != store_was_reachable_)
         record(reachable ? timeline_kind::store_restored : timeline_kind::store_lost, {}, {});
--- a/src/plugins/entry/entry_node.h
+++ b/src/plugins/entry/entry_node.h
@@ -83,7 +83,7 @@
     void drain();
     [[nodiscard]] bool drained() const;
     /// True when this host can take callers' work.
-    [[nodiscard]] bool ready() const;
+    [[nodiscard]] bool ready() const { return was_ready_ && !draining_; }
     [[nodiscard]] node_status status() const;
 
     [[nodiscard]] std::shared_ptr<const fleet_config> config() const override { return replica_.current(); }
@@ -121,6 +121,7 @@
     void record(timeline_kind kind, const shard_id& shard, std::string detail);
     void record_shard_event(const shard_event_record& event);
     void watch_changes();
+    [[nodiscard]] bool knows_owners() const;
 
     entry_node_settings settings_;
     entry_services services_;
@@ -148,6 +149,7 @@
     timestamp next_month_;
     bool reading_host_list_ = false;
     bool draining_ = false;
+    bool was_ready_ = false;
     bool store_was_reachable_ = true;
     key_policy last_policy_ = key_policy::refusing;
     std::size_t malformed_ = 0;
--- a/src/plugins/entry/tests/tst_entry_invariants.cpp
+++ b/src/plugins/entry/tests/tst_entry_invariants.cpp
@@ -39,11 +39,13 @@
     [[nodiscard]] std::shared_ptr<const fleet_config> config() const override { return config_; }
     [[nodiscard]] key_policy keys() const override { return key_policy::fresh; }
     [[nodiscard]] std::optional<shard_route> route(const shard_id&) const override { return std::nullopt; }
+    [[nodiscard]] const std::vector<shard_id>& shards_of(const service_id&) const override { return shards_; }
     [[nodiscard]] std::optional<shard_load> load(const shard_id&) const override { return std::nullopt; }
     [[nodiscard]] const zone_id& zone() const override { return zone_; }
 
 private:
     std::shared_ptr<fleet_config> config_;
+    std::vector<shard_id> shards_;
     zone_id zone_{"z1"};
 };
 
@@ -73,7 +75,8 @@
                                                fleet.targets,
                                                permits,
                                                [](const std::function<void(bool)>& done) { done(true); },
-                                               {}},
+                                               {},
+                                               [] { return true; }},
                       {}};
     owner.configure(fleet.config);
     owner.tick();
--- a/src/plugins/front/front.cpp
+++ b/src/plugins/front/front.cpp
@@ -64,7 +64,7 @@
 void front::submit(const caller_request& call, const std::function<void(const request_id&)>& accepted,
                    answer_function done)
 {
-    const auto refuse = [&](reason why) { done(caller_answer{{}, refused(why, not_ready_retry), {}}); };
+    const auto refuse = [&](reason why) { done(caller_answer{{}, refused(why, not_ready_retry), false, {}}); };
     if (draining_) {
         refuse(reason::draining);
         return;
@@ -98,7 +98,7 @@
         state.work.id = make_request_id(*shard, *team, new_nonce());
     } else {
         if (call.ticket.empty()) {
-            done(caller_answer{{}, refused(reason::ticket_required), new_ticket(call.service, *team)});
+            done(caller_answer{{}, refused(reason::ticket_required), false, new_ticket(call.service, *team)});
             return;
         }
         const tl::expected<ticket, reason> decoded =
@@ -145,17 +145,18 @@
 {
     const std::optional<request_id_parts> parts = parse_request_id(id);
     if (!parts) {
-        done(caller_answer{id, unknown(reason::unknown_request), {}});
+        done(caller_answer{id, unknown(reason::unknown_request), false, {}});
         return;
     }
     const tl::expected<team_id, reason> team = authorize(parts->shard.service, key);
     if (!team) {
-        done(caller_answer{id, refused(team.error()), {}});
+        // Not an outcome: the request may be running.
+        done(caller_answer{{}, refused(team.error()), true, {}});
         return;
     }
     // Another team's request is reported in the same way as one that does not exist.
     if (*team != parts->team) {
-        done(caller_answer{id, unknown(reason::unknown_request), {}});
+        done(caller_answer{id, unknown(reason::unknown_request), false, {}});
         return;
     }
     call_state state;
@@ -412,7 +413,7 @@
     const answer_function done = std::move(it->second.done);
     const request_id request = it->second.work.id;
     outstanding_.erase(it);
-    done(caller_answer{request, result, {}});
+    done(caller_answer{request, result, false, {}});
 }
 
 void front::tick()
--- a/src/plugins/front/front.h
+++ b/src/plugins/front/front.h
@@ -34,6 +34,8 @@
 struct caller_answer {
     request_id id; ///< Empty when no request came into being.
     outcome result;
+    /// The call itself was refused for `result.why`; nothing is said about the request.
+    bool call_refused = false;
     std::string next_ticket; ///< For the caller's next request that is not idempotent; may be empty.
 };
 
--- a/src/plugins/membership/membership_agent.cpp
+++ b/src/plugins/membership/membership_agent.cpp
@@ -154,7 +154,8 @@
         drop_all();
         return;
     }
-    if (record_->removed() || round_in_flight_ || now < next_round_)
+    // A host that has left goes on reading: its front still needs to know the owners of shards.
+    if (round_in_flight_ || now < next_round_)
         return;
     start_round();
 }
--- a/src/plugins/shard/shard_owner.cpp
+++ b/src/plugins/shard/shard_owner.cpp
@@ -320,7 +320,10 @@
 
     request_record* record = requests_.find(task->request);
     if (record != nullptr) {
-        check_invariant(result.task == id, invariant::whole_answer, id.str());
+        if (!check_invariant(result.task == id, invariant::whole_answer, id.str())) {
+            end(task->request, outcome_kind::unknown, reason::answer_incomplete);
+            return;
+        }
         estimator_.record(record->work.service, task->team, run_time, record->work.declared, resources{});
         if (result.succeeded)
             targets_.health().record_success(task->target, task->request, task->team, now);
@@ -736,6 +739,13 @@
         return;
     const bool says_not_run =
         kind == outcome_kind::refused_not_run || kind == outcome_kind::cancelled_not_run;
+    if (says_not_run && !record->work.idempotent && !env_.store_reachable()) {
+        // Out of contact with the store for longer than a member's lease allows, another host may own the
+        // shard and have run the request for another submission of its ticket.
+        requests_.end_and_forget(
+            id, outcome{outcome_kind::unknown, reason::shard_unreachable, advised_retry_delay(), {}});
+        return;
+    }
     check_invariant(!says_not_run || record->runs == 0, invariant::true_refusal, id.str());
     report(shard_event::ended, id, record->work.team, record->current_target, std::string{name_of(kind)});
     outcome result{kind, why, duration{0}, std::move(body)};
