Split the owner's choice of work from its bookkeeping; fetch a result again

Change: work_picker and run_statistics; a damaged fetch leaves the request retained, so that the next look-up fetches it again.

--- a/src/plugins/entry/tests/tst_entry_node.cpp
+++ b/src/plugins/entry/tests/tst_entry_node.cpp
@@ -299,3 +299,28 @@
     REQUIRE(sent->answered());
     CHECK(sent->kind() == outcome_kind::completed);
 }
+
+TEST_CASE("a retained result that was damaged on its way is fetched again for the next who asks")
+{
+    fleet_fixture fleet;
+    fleet.set_run_time(1s);
+    fleet.run(5s);
+    const std::string ticket = fleet.ticket("z1h1", "t1");
+    const std::string owner = fleet.owner_of(shard_of_ticket(fleet, ticket));
+    fleet.submit(owner, fleet_fixture::call("t1", false, ticket));
+    fleet.run(500ms);
+    fleet.kill(owner);
+    fleet.run(15s);
+    for (const auto& [id, record] : fleet.config.targets)
+        fleet.targets.lose_next_answers(id, 1, target_errc::bad_response);
+    const std::string other = owner == "z3h1" ? "z3h2" : "z3h1";
+    const std::shared_ptr<submission> damaged = fleet.submit(other, fleet_fixture::call("t1", false, ticket));
+    fleet.run(1s);
+    REQUIRE(damaged->answered());
+    CHECK(damaged->kind() == outcome_kind::unknown);
+    const std::shared_ptr<submission> again = fleet.submit(other, fleet_fixture::call("t1", false, ticket));
+    fleet.run(1s);
+    REQUIRE(again->answered());
+    CHECK(again->kind() == outcome_kind::completed);
+    CHECK(fleet.runs_of(again->id) == 1);
+}
--- a/src/plugins/shard/request_table.cpp
+++ b/src/plugins/shard/request_table.cpp
@@ -36,11 +36,8 @@
         bodies_.push_back(id);
         body_bytes_ += result.body.size();
     }
-    const std::vector<outcome_function> waiters = std::move(record->waiters);
-    record->waiters.clear();
     drop_old_bodies();
-    for (const outcome_function& waiter : waiters)
-        waiter(result);
+    tell_waiters(id, result);
 }
 
 void request_table::end_and_forget(const request_id& id, const outcome& result)
@@ -54,6 +51,17 @@
         waiter(result);
 }
 
+void request_table::tell_waiters(const request_id& id, const outcome& result)
+{
+    request_record* record = find(id);
+    if (record == nullptr)
+        return;
+    const std::vector<outcome_function> waiters = std::move(record->waiters);
+    record->waiters.clear();
+    for (const outcome_function& waiter : waiters)
+        waiter(result);
+}
+
 void request_table::correct(const request_id& id, const outcome& result)
 {
     request_record* record = find(id);
--- a/src/plugins/shard/request_table.h
+++ b/src/plugins/shard/request_table.h
@@ -78,6 +78,8 @@
     void end(const request_id& id, const outcome& result, timestamp now);
     /// Tells all waiters and forgets the record; for outcomes that claim nothing.
     void end_and_forget(const request_id& id, const outcome& result);
+    /// Tells all waiters and leaves the request as it is.
+    void tell_waiters(const request_id& id, const outcome& result);
     /// Replaces the outcome of an ended request when more has become known about it.
     void correct(const request_id& id, const outcome& result);
     void expire(timestamp now);
--- a/src/plugins/shard/shard_owner.cpp
+++ b/src/plugins/shard/shard_owner.cpp
@@ -11,9 +11,6 @@
 /// The demand of all teams is told to the permit agent this often; at each tick it cost a host with 52 teams
 /// most of its idle time.
 constexpr duration demand_interval{std::chrono::milliseconds{100}};
-constexpr double mean_run_smoothing = 0.1;
-constexpr duration min_retry_advice{std::chrono::milliseconds{100}};
-constexpr duration max_retry_advice{std::chrono::seconds{30}};
 
 outcome refused(reason why)
 {
@@ -35,7 +32,8 @@
                                       target_opened(target, grant, rebooted);
                                   },
                                   [] {}, [this](const target_id& target) { target_tasks_ended(target); }}},
-      requests_{settings.table}, queue_{settings.queue}, retries_{settings.retries}
+      requests_{settings.table}, queue_{settings.queue}, picker_{queue_, targets_, tasks_, env_.random},
+      retries_{settings.retries}
 {
 }
 
@@ -203,52 +201,25 @@
     update_demand();
 }
 
-pick_context shard_owner::make_pick_context() const
-{
-    const auto has_room = [this](const resources& need) {
-        return targets_.choose(need, {}, tasks_, env_.random).has_value();
-    };
-    pick_context context;
-    context.may_start = [this](const team_id& team) { return free_permits(team) > 0; };
-    context.fits = [has_room](const queued_task& task) { return has_room(task.need); };
-    context.has_room = has_room;
-    context.fits_beside = [this](const queued_task& task, const queued_task& reserved) {
-        const std::optional<target_id> kept = targets_.choose_kept(reserved.need, tasks_);
-        return !kept || targets_.choose_beside(task.need, *kept, tasks_, env_.random).has_value();
-    };
-    return context;
-}
-
-std::optional<target_id> shard_owner::target_for(const queued_task& task, const request_record& record,
-                                                 const std::optional<queued_task>& reserved) const
-{
-    if (reserved && reserved->id != task.id) {
-        if (const std::optional<target_id> kept = targets_.choose_kept(reserved->need, tasks_))
-            return targets_.choose_beside(task.need, *kept, tasks_, env_.random);
-    }
-    return targets_.choose(task.need, record.failed_on, tasks_, env_.random);
-}
-
 bool shard_owner::start_next()
 {
-    const std::optional<queued_task> reserved_before = queue_.reserved();
-    const std::optional<queued_task> picked = queue_.pick(make_pick_context(), env_.time.now());
+    const std::optional<picked_work> picked =
+        picker_.pick([this](const team_id& team) { return free_permits(team) > 0; },
+                     [this](const request_id& id) {
+                         const request_record* record = requests_.find(id);
+                         return record == nullptr ? std::set<target_id>{} : record->failed_on;
+                     },
+                     env_.time.now());
     if (!picked)
         return false;
-    request_record* record = requests_.find(picked->id);
+    request_record* record = requests_.find(picked->task.id);
     if (record == nullptr || record->phase != request_phase::queued)
         return true;
-    // A reservation that the pick itself ended or granted does not bind this task.
-    const std::optional<queued_task> reserved_after = queue_.reserved();
-    const bool still_reserved =
-        reserved_before && reserved_after && reserved_before->id == reserved_after->id;
-    const std::optional<target_id> target =
-        target_for(*picked, *record, still_reserved ? reserved_after : std::nullopt);
-    if (!target) {
+    if (!picked->target) {
         enqueue(*record);
         return false;
     }
-    start_task(*record, *target);
+    start_task(*record, *picked->target);
     return true;
 }
 
@@ -319,7 +290,7 @@
     const timestamp now = env_.time.now();
     queue_.task_finished(task->team, task->need, now);
     const duration run_time = now - task->attempt->started_at();
-    mean_run_s_ += mean_run_smoothing * (std::chrono::duration<double>(run_time).count() - mean_run_s_);
+    statistics_.record(run_time);
 
     request_record* record = requests_.find(task->request);
     if (record != nullptr) {
@@ -637,14 +608,25 @@
                            const tl::expected<task_result, target_errc>& result) {
                            if (weak.expired())
                                return;
-                           if (result)
-                               end(id, result->succeeded ? outcome_kind::completed : outcome_kind::failed,
-                                   reason::none, result->body);
-                           else
-                               end(id, outcome_kind::unknown, reason::answer_incomplete);
+                           retained_result(id, result);
                        });
 }
 
+void shard_owner::retained_result(const request_id& id, const tl::expected<task_result, target_errc>& result)
+{
+    if (result) {
+        end(id, result->succeeded ? outcome_kind::completed : outcome_kind::failed, reason::none,
+            result->body);
+    } else if (result.error() == target_errc::unknown_task) {
+        end(id, outcome_kind::unknown, reason::memory_lost);
+    } else if (request_record* record = requests_.find(id); record != nullptr) {
+        // The target may still have the result: the next one who asks fetches it again.
+        record->phase = request_phase::retained;
+        requests_.tell_waiters(
+            id, outcome{outcome_kind::unknown, reason::answer_incomplete, advised_retry_delay(), {}});
+    }
+}
+
 void shard_owner::cancel(const request_id& id, outcome_function done)
 {
     if (closed_) {
@@ -731,7 +713,7 @@
     result.queued = queue_.size();
     result.running = static_cast<std::int64_t>(tasks_.size());
     result.free_slots = targets_.free_slots(tasks_);
-    result.mean_run = std::chrono::duration_cast<duration>(std::chrono::duration<double>(mean_run_s_));
+    result.mean_run = statistics_.mean();
     return result;
 }
 
@@ -803,10 +785,7 @@
 
 duration shard_owner::advised_retry_delay() const
 {
-    const std::int64_t slots = std::max<std::int64_t>(1, static_cast<std::int64_t>(tasks_.size()));
-    const double wait_s = mean_run_s_ * static_cast<double>(queue_.size()) / static_cast<double>(slots);
-    const duration wait = std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait_s));
-    return std::clamp(wait, min_retry_advice, max_retry_advice);
+    return statistics_.retry_advice(queue_.size(), tasks_.size());
 }
 
 } // namespace mjm
--- a/src/plugins/shard/shard_owner.h
+++ b/src/plugins/shard/shard_owner.h
@@ -8,9 +8,11 @@
 #include "scheduling/run_estimator.h"
 #include "shard/permit_source.h"
 #include "shard/request_table.h"
+#include "shard/run_statistics.h"
 #include "shard/target_set.h"
 #include "shard/task_ledger.h"
 #include "shard/ticket.h"
+#include "shard/work_picker.h"
 
 #include <cstdint>
 #include <functional>
@@ -105,9 +107,6 @@
     void enqueue(request_record& record);
     void pump();
     bool start_next();
-    [[nodiscard]] pick_context make_pick_context() const;
-    [[nodiscard]] std::optional<target_id> target_for(const queued_task& task, const request_record& record,
-                                                      const std::optional<queued_task>& reserved) const;
     void start_task(request_record& record, const target_id& target);
     void settle_recovering();
     void resume_backoffs();
@@ -129,6 +128,7 @@
     void adopt(const target_id& target, const task_report& known);
     void adopt_again(request_record& record, const target_id& target, const task_report& known);
     void fetch_retained(request_record& record);
+    void retained_result(const request_id& id, const tl::expected<task_result, target_errc>& result);
     void make_attempt(const request_record& record, const task_id& id, const target_id& target, bool adopted);
     void cancel_running(request_record& record, outcome_function done);
 
@@ -152,12 +152,13 @@
     task_ledger tasks_;
     request_table requests_;
     fair_queue queue_;
+    work_picker picker_;
     run_estimator estimator_;
     retry_budget retries_;
     std::set<request_id> recovering_;
     std::multimap<timestamp, request_id> backoffs_;
     std::set<team_id> known_teams_;
-    double mean_run_s_ = 0.0;
+    run_statistics statistics_;
     timestamp next_demand_;
     bool closed_ = false;
     bool recovery_reported_ = false;
