Pass the responder by reference

Cause: the lint step of a fresh clone reports a copy in entry_program.cpp. Change: the lambda takes the responder by reference.

--- a/src/tools/mjm_entry/entry_program.cpp
+++ b/src/tools/mjm_entry/entry_program.cpp
@@ -70,7 +70,7 @@
     decision_service& decisions = *owned;
     const auto forward_to =
         [&decisions](void (decision_service::*handler)(http_request, const http_server::responder&)) {
-            return [&decisions, handler](http_request request, http_server::responder respond) {
+            return [&decisions, handler](http_request request, const http_server::responder& respond) {
                 (decisions.*handler)(std::move(request), respond);
             };
         };
