--- a/src/plugins/entry/tests/fleet_fixture.cpp
+++ b/src/plugins/entry/tests/fleet_fixture.cpp
@@ -264,6 +264,10 @@
         return;
     for (const auto& [id, record] : config.targets) {
         for (const start_order& order : targets.running_orders(id)) {
+            if (failing_targets.contains(id)) {
+                targets.finish(id, order.task, false, "broken target");
+                continue;
+            }
             const timestamp since = seen_.try_emplace(order.task, time.now()).first->second;
             if (time.now() - since >= run_time_)
                 targets.finish(id, order.task, true, "done " + order.request.str());
--- a/src/plugins/entry/tests/fleet_fixture.h
+++ b/src/plugins/entry/tests/fleet_fixture.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -117,6 +118,7 @@
     fake_host_list host_list{pump};
     fleet_config config;
     std::vector<std::string> violations;
+    std::set<target_id> failing_targets; ///< Every task there ends at once with a failure.
     fleet_observer* observer = nullptr;
     std::function<void()> before_round; ///< Called before each round of deliveries, to add message faults.
 
--- a/src/plugins/entry/tests/tst_entry_node.cpp
+++ b/src/plugins/entry/tests/tst_entry_node.cpp
@@ -324,3 +324,86 @@
     CHECK(again->kind() == outcome_kind::completed);
     CHECK(fleet.runs_of(again->id) == 1);
 }
+
+namespace {
+
+std::size_t starts_on(fleet_fixture& fleet, const std::string& target)
+{
+    return fleet.targets.model(target_id{target}).runs().size();
+}
+
+/// Submits a request of each team at a host every 100 ms and returns the submissions.
+std::vector<std::shared_ptr<submission>> submit_for(fleet_fixture& fleet, const std::string& host, int rounds)
+{
+    std::vector<std::shared_ptr<submission>> all;
+    all.reserve(2 * static_cast<std::size_t>(rounds));
+    for (int i = 0; i < rounds; ++i) {
+        all.push_back(fleet.submit(host, fleet_fixture::call("t1", true)));
+        all.push_back(fleet.submit(host, fleet_fixture::call("t2", true)));
+        fleet.run(100ms);
+    }
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("a target that fails everything is taken out and its work completes elsewhere")
+{
+    fleet_fixture fleet;
+    fleet.run(5s);
+    fleet.failing_targets.insert(target_id{"lens-z1-0"});
+    (void)submit_for(fleet, "z1h1", 30);
+    const std::size_t starts = starts_on(fleet, "lens-z1-0");
+    const std::vector<std::shared_ptr<submission>> later = submit_for(fleet, "z1h1", 40);
+    fleet.run(5s);
+    // A probe now and then is allowed, a share of the work is not.
+    CHECK(starts_on(fleet, "lens-z1-0") - starts <= 4);
+    for (const std::shared_ptr<submission>& it : later) {
+        REQUIRE(it->answered());
+        CHECK(it->kind() == outcome_kind::completed);
+    }
+}
+
+TEST_CASE("a target that the list reports as leaving gets no new work and ends what it runs")
+{
+    fleet_fixture fleet;
+    fleet.run(5s);
+    std::vector<listed_host> listed;
+    listed.reserve(fleet.config.targets.size());
+    for (const auto& [id, record] : fleet.config.targets)
+        listed.push_back({id, id.str() == "lens-z1-0" ? host_state::leaving : host_state::live});
+    const std::vector<std::shared_ptr<submission>> before = submit_for(fleet, "z1h1", 10);
+    fleet.host_list.set(listed);
+    // One interval of reading the list.
+    fleet.run(6s);
+    const std::size_t starts = starts_on(fleet, "lens-z1-0");
+    const std::vector<std::shared_ptr<submission>> after = submit_for(fleet, "z1h1", 20);
+    fleet.run(5s);
+    CHECK(starts_on(fleet, "lens-z1-0") == starts);
+    for (const std::vector<std::shared_ptr<submission>>& group : {before, after}) {
+        for (const std::shared_ptr<submission>& it : group) {
+            REQUIRE(it->answered());
+            CHECK(it->kind() == outcome_kind::completed);
+        }
+    }
+}
+
+TEST_CASE("store answers lost after their effect neither stop work nor break a limit")
+{
+    fleet_fixture fleet{{.team_limit = 6}};
+    fleet.store.lose_next_write_answers(30);
+    fleet.run(10s);
+    fleet.store.lose_next_write_answers(30);
+    std::vector<std::shared_ptr<submission>> all;
+    for (const std::string& host : fleet.hosts()) {
+        const std::vector<std::shared_ptr<submission>> part = submit_for(fleet, host, 10);
+        all.insert(all.end(), part.begin(), part.end());
+    }
+    fleet.run(20s);
+    for (const std::shared_ptr<submission>& it : all) {
+        REQUIRE(it->answered());
+        CHECK(it->kind() == outcome_kind::completed);
+    }
+    CHECK(fleet.highest_running_of("t1") <= 6);
+    CHECK(fleet.violations.empty());
+}
