Leave Asio out of the thread sanitizer's run

Cause: gcc rejects atomic_thread_fence, which Asio uses, under the thread sanitizer. Change: the thread sanitizer covers kernel, logging, time line and core.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -37,9 +37,8 @@
     sanitized_tests address,undefined build-address "tst_core tst_kernel tst_logging tst_net tst_platform_codecs \
 tst_platform_http tst_settings tst_timeline tst_caller_api tst_entry tst_membership tst_permits tst_scheduling \
 tst_platform_service tst_target_service"
-    # Only these tests run more than one thread.
-    sanitized_tests thread build-thread "tst_core tst_kernel tst_logging tst_net tst_platform_http tst_timeline \
-tst_platform_service tst_target_service"
+    # The threads of the network are left out: Asio uses fences, which the thread sanitizer does not support.
+    sanitized_tests thread build-thread "tst_core tst_kernel tst_logging tst_timeline"
 fi
 
 passed=$(ctest --test-dir build -N | sed -n 's/^Total Tests: //p')
