--- a/src/plugins/entry/fleet_view.cpp
+++ b/src/plugins/entry/fleet_view.cpp
@@ -42,10 +42,4 @@
     return total;
 }
 
-std::optional<timestamp> fleet_view::last_heard(const host_id& host) const
-{
-    const auto it = hosts_.find(host);
-    return it == hosts_.end() ? std::nullopt : std::optional{it->second.received};
-}
-
 } // namespace mjm
--- a/src/plugins/entry/fleet_view.h
+++ b/src/plugins/entry/fleet_view.h
@@ -21,7 +21,6 @@
     [[nodiscard]] std::optional<shard_load> load(const shard_id& shard, timestamp now) const;
     /// Tasks by team in the shards of all other hosts.
     [[nodiscard]] std::map<team_id, std::int64_t> running_elsewhere() const;
-    [[nodiscard]] std::optional<timestamp> last_heard(const host_id& host) const;
 
 private:
     struct entry {
--- a/src/plugins/entry/owned_shard.h
+++ b/src/plugins/entry/owned_shard.h
@@ -25,7 +25,6 @@
 
     [[nodiscard]] shard_owner& owner() { return owner_; }
     [[nodiscard]] const shard_owner& owner() const { return owner_; }
-    [[nodiscard]] std::int64_t permits_held(const team_id& team) const { return agent_.held(team); }
 
 private:
     class agent_permits;
--- a/src/plugins/shard/shard_owner.cpp
+++ b/src/plugins/shard/shard_owner.cpp
@@ -31,7 +31,7 @@
                target_set::events{[this](const target_id& target, const lease_grant& grant, bool rebooted) {
                                       target_opened(target, grant, rebooted);
                                   },
-                                  [] {}, [this](const target_id& target) { target_tasks_ended(target); }}},
+                                  [this](const target_id& target) { target_tasks_ended(target); }}},
       requests_{settings.table}, queue_{settings.queue}, picker_{queue_, targets_, tasks_, env_.random},
       retries_{settings.retries}
 {
--- a/src/plugins/shard/target_lease.cpp
+++ b/src/plugins/shard/target_lease.cpp
@@ -53,7 +53,6 @@
     }
     lease_token token = token_;
     token.boot_id = answer.boot_id;
-    extend(time_.now());
     targets_.open_lease(endpoint_, token, answer.challenge, settings_.ttl,
                         [weak = weak_from_this()](const tl::expected<lease_grant, target_errc>& result) {
                             if (const std::shared_ptr<target_lease> self = weak.lock())
@@ -83,20 +82,18 @@
 void target_lease::renew()
 {
     renewing_ = true;
-    const timestamp sent = time_.now();
     targets_.renew(endpoint_, token_,
-                   [weak = weak_from_this(), sent](const tl::expected<usage_report, target_errc>& result) {
+                   [weak = weak_from_this()](const tl::expected<usage_report, target_errc>& result) {
                        if (const std::shared_ptr<target_lease> self = weak.lock())
-                           self->renewed(sent, result);
+                           self->renewed(result);
                    });
 }
 
-void target_lease::renewed(timestamp sent, const tl::expected<usage_report, target_errc>& result)
+void target_lease::renewed(const tl::expected<usage_report, target_errc>& result)
 {
     renewing_ = false;
     next_action_ = time_.now() + settings_.renew_interval;
     if (result) {
-        extend(sent);
         failed_renewals_ = 0;
         if (on_usage_)
             on_usage_(*result);
@@ -106,9 +103,6 @@
         call_refused(result.error());
         return;
     }
-    // A renewal without an answer may have arrived as late as now.
-    if (result.error() != target_errc::not_connected)
-        extend(time_.now());
     ++failed_renewals_;
     next_action_ = time_.now() + settings_.reopen_delay;
 }
@@ -117,8 +111,6 @@
 {
     if (ec == target_errc::fenced) {
         state_ = lease_state::fenced;
-        if (on_fenced_)
-            on_fenced_();
     } else if (ec == target_errc::lease_expired && state_ == lease_state::open) {
         retry_later();
     }
@@ -130,11 +122,4 @@
     next_action_ = time_.now() + settings_.reopen_delay;
 }
 
-void target_lease::extend(timestamp sent)
-{
-    const duration margin{
-        static_cast<duration::rep>(static_cast<double>(settings_.ttl.count()) * settings_.clock_rate_margin)};
-    tasks_end_by_ = std::max(tasks_end_by_, sent + margin);
-}
-
 } // namespace mjm
--- a/src/plugins/shard/target_lease.h
+++ b/src/plugins/shard/target_lease.h
@@ -14,8 +14,6 @@
     duration ttl{std::chrono::seconds{60}}; ///< Bounds only how long orphaned tasks run.
     duration renew_interval{std::chrono::seconds{10}};
     duration reopen_delay{std::chrono::milliseconds{500}};
-    /// Two clocks that both run within 5% of real time differ by less than this factor.
-    double clock_rate_margin = 1.1;
 };
 
 enum class lease_state { closed, opening, open, fenced };
@@ -48,8 +46,6 @@
     }
     /// The target reported its usage.
     void on_usage(std::function<void(const usage_report&)> callback) { on_usage_ = std::move(callback); }
-    /// A newer lease holds the target.
-    void on_fenced(std::function<void()> callback) { on_fenced_ = std::move(callback); }
 
     void tick();
     /// Stops renewing and opening.
@@ -64,9 +60,6 @@
     [[nodiscard]] bool reachable() const { return state_ == lease_state::open && failed_renewals_ < 2; }
     [[nodiscard]] const lease_token& token() const { return token_; }
     [[nodiscard]] const target_endpoint& endpoint() const { return endpoint_; }
-    /// Time after which every task started under this lease has ended at the target, unless the lease is
-    /// renewed again.
-    [[nodiscard]] timestamp tasks_end_by() const { return tasks_end_by_; }
 
 private:
     void open();
@@ -74,9 +67,8 @@
     void epoch_confirmed(const target_challenge& answer, bool confirmed);
     void opened(const tl::expected<lease_grant, target_errc>& result);
     void renew();
-    void renewed(timestamp sent, const tl::expected<usage_report, target_errc>& result);
+    void renewed(const tl::expected<usage_report, target_errc>& result);
     void retry_later();
-    void extend(timestamp sent);
 
     target_endpoint endpoint_;
     lease_token token_;
@@ -86,7 +78,6 @@
     target_lease_settings settings_;
     std::function<void(const lease_grant&, bool)> on_open_;
     std::function<void(const usage_report&)> on_usage_;
-    std::function<void()> on_fenced_;
 
     lease_state state_ = lease_state::closed;
     bool ever_open_ = false;
@@ -94,7 +85,6 @@
     bool renewing_ = false;
     unsigned failed_renewals_ = 0;
     timestamp next_action_;
-    timestamp tasks_end_by_;
 };
 
 } // namespace mjm
--- a/src/plugins/shard/target_set.cpp
+++ b/src/plugins/shard/target_set.cpp
@@ -71,7 +71,6 @@
         reported.reported_used = report.used;
         reported.reported_leaving = report.leaving;
     });
-    target.lease->on_fenced([this] { events_.fenced(); });
     targets_.insert_or_assign(id, std::move(target));
 }
 
--- a/src/plugins/shard/target_set.h
+++ b/src/plugins/shard/target_set.h
@@ -21,7 +21,6 @@
 public:
     struct events {
         std::function<void(const target_id&, const lease_grant&, bool rebooted)> opened;
-        std::function<void()> fenced;               ///< Another owner holds a target at a higher epoch.
         std::function<void(const target_id&)> gone; ///< Every task there has ended.
     };
 
--- a/src/plugins/shard/task_attempt.h
+++ b/src/plugins/shard/task_attempt.h
@@ -38,7 +38,6 @@
     [[nodiscard]] const start_order& order() const { return order_; }
     [[nodiscard]] const target_endpoint& endpoint() const { return endpoint_; }
     [[nodiscard]] timestamp started_at() const { return started_at_; }
-    [[nodiscard]] bool is_lost() const { return lost_; }
 
 private:
     void fetch();
