--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -15,9 +15,11 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace mjm {
@@ -81,9 +83,12 @@
     struct pool {
         std::vector<std::shared_ptr<connection>> idle; ///< The most recently used last.
         std::set<std::shared_ptr<connection>> open;    ///< Includes idle ones.
+        std::deque<std::shared_ptr<call>> waiting;     ///< For a free connection.
     };
 
     void send(std::shared_ptr<call> c);
+    /// Sends the call that has waited longest, when a connection has become free.
+    void send_waiting(const http_endpoint& endpoint);
     void close_all();
 
     asio::io_context& context_;
@@ -169,7 +174,7 @@
         const std::shared_ptr<connection> self = shared_from_this();
         std::erase(it->second.idle, self);
         it->second.open.erase(self);
-        if (it->second.open.empty())
+        if (it->second.open.empty() && it->second.waiting.empty())
             client_->pools_.erase(it);
     }
 
@@ -207,7 +212,9 @@
             become_idle();
         else
             close();
+        const std::shared_ptr<impl> client = client_;
         c->done(std::move(result));
+        client->send_waiting(endpoint_);
     }
 
     void write()
@@ -341,7 +348,10 @@
     }
     pool& p = pools_[c->endpoint];
     if (p.open.size() >= settings_.max_connections_per_endpoint) {
-        c->done(tl::unexpected{http_errc::too_many});
+        if (settings_.wait_for_connection)
+            p.waiting.push_back(std::move(c));
+        else
+            c->done(tl::unexpected{http_errc::too_many});
         return;
     }
     const std::shared_ptr<connection> fresh = std::make_shared<connection>(shared_from_this(), c->endpoint);
@@ -349,9 +359,31 @@
     fresh->open(std::move(c));
 }
 
+void http_client::impl::send_waiting(const http_endpoint& endpoint)
+{
+    while (!closed_) {
+        const auto it = pools_.find(endpoint);
+        if (it == pools_.end() || it->second.waiting.empty())
+            return;
+        pool& p = it->second;
+        if (p.idle.empty() && p.open.size() >= settings_.max_connections_per_endpoint)
+            return;
+        const std::shared_ptr<call> c = p.waiting.front();
+        p.waiting.pop_front();
+        if (steady::now() >= c->deadline)
+            c->done(tl::unexpected{http_errc::not_connected});
+        else
+            send(c);
+    }
+}
+
 void http_client::impl::close_all()
 {
     closed_ = true;
+    for (auto& [endpoint, p] : pools_) {
+        for (const std::shared_ptr<call>& c : std::exchange(p.waiting, {}))
+            c->done(tl::unexpected{http_errc::not_connected});
+    }
     std::vector<std::shared_ptr<connection>> all;
     for (const auto& [endpoint, p] : pools_)
         all.insert(all.end(), p.open.begin(), p.open.end());
--- /dev/null
+++ b/src/plugins/jobs/job.cpp
@@ -0,0 +1,113 @@
+#include "jobs/job.h"
+
+#include <algorithm>
+
+namespace mjm {
+
+job::job(job_record record) : record_{std::move(record)}
+{
+    for (const step_spec& s : record_.spec.steps) {
+        offsets_.push_back(per_occurrence_);
+        per_occurrence_ += s.tasks;
+        permanent_ = permanent_ || s.permanent;
+        work_ += static_cast<double>(s.tasks) * static_cast<double>(s.need.milli_cpu) / 1000.0 *
+                 std::chrono::duration<double>(s.estimate).count();
+    }
+    tasks_.resize(per_occurrence_ * record_.spec.occurrences);
+    open_ = tasks_.size();
+    for (std::uint32_t k = 0; k < record_.spec.occurrences; ++k) {
+        for (const step_spec& s : record_.spec.steps)
+            open_steps_.push_back(s.tasks);
+    }
+    chain_ = chain_over(false);
+}
+
+bool job::contains(const task_position& p) const
+{
+    return p.occurrence < record_.spec.occurrences && p.step < record_.spec.steps.size() &&
+           p.index < record_.spec.steps[p.step].tasks;
+}
+
+bool job::step_ready(std::uint32_t occurrence, std::uint32_t n) const
+{
+    const std::vector<std::uint32_t>& after = record_.spec.steps[n].after;
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t s) {
+        return open_steps_[occurrence * record_.spec.steps.size() + s] == 0;
+    });
+}
+
+bool job::due(std::uint32_t occurrence, std::int64_t unix_ms) const
+{
+    return !record_.spec.scheduled ||
+           unix_ms >= record_.spec.first_due_ms + std::int64_t{occurrence} * record_.spec.interval_ms;
+}
+
+void job::finish_task(const task_position& p)
+{
+    task& t = at(p);
+    if (t.done)
+        return;
+    t.done = true;
+    t.run.reset();
+    --open_;
+    --open_steps_[p.occurrence * record_.spec.steps.size() + p.step];
+    if (open_ == 0 && !is_final(state_))
+        state_ = job_state::completed;
+}
+
+void job::fail_task(const task_position& p, std::uint32_t max_attempts)
+{
+    task& t = at(p);
+    ++t.failures;
+    if (!record_.spec.steps[p.step].permanent && t.failures >= max_attempts && !is_final(state_))
+        state_ = job_state::failed;
+}
+
+void job::settle_cancel()
+{
+    if (cancelled_ && !is_final(state_) && active_runs() == 0)
+        state_ = job_state::cancelled;
+}
+
+void job::restore_progress(bool started)
+{
+    started_ = started;
+    open_ = 0;
+    std::fill(open_steps_.begin(), open_steps_.end(), 0);
+    for_open_tasks([this](const task_position& p, const task&) {
+        ++open_;
+        ++open_steps_[p.occurrence * record_.spec.steps.size() + p.step];
+    });
+    if (open_ == 0)
+        state_ = job_state::completed;
+    else if (started_)
+        state_ = job_state::running;
+}
+
+std::size_t job::active_runs() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(tasks_.begin(), tasks_.end(), [](const task& t) { return t.run.has_value(); }));
+}
+
+duration job::remaining_chain() const
+{
+    return chain_over(true);
+}
+
+duration job::chain_over(bool open_only) const
+{
+    const std::size_t steps = record_.spec.steps.size();
+    std::vector<duration> until(steps, duration{0});
+    duration longest{0};
+    for (std::size_t s = 0; s < steps; ++s) {
+        for (const std::uint32_t before : record_.spec.steps[s].after)
+            until[s] = std::max(until[s], until[before]);
+        if (!open_only || open_steps_[s] > 0)
+            until[s] += record_.spec.steps[s].estimate;
+        longest = std::max(longest, until[s]);
+    }
+    return longest;
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/job_codec.cpp
@@ -0,0 +1,195 @@
+#include "jobs/job_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace mjm {
+
+namespace {
+
+using json = nlohmann::json;
+
+json encode_step(const step_spec& s)
+{
+    json out{{"tasks", s.tasks},
+             {"cpu", s.need.milli_cpu},
+             {"memory", s.need.memory_mib},
+             {"estimate_us", s.estimate.count()}};
+    if (s.need.accelerators != 0)
+        out["accelerators"] = s.need.accelerators;
+    if (!s.after.empty())
+        out["after"] = s.after;
+    const auto flag = [&out](const char* name, bool value) {
+        if (value)
+            out[name] = true;
+    };
+    flag("saves_progress", s.saves_progress);
+    flag("gang", s.gang);
+    flag("rack_sensitive", s.rack_sensitive);
+    flag("speculative", s.speculative);
+    flag("permanent", s.permanent);
+    flag("backfill", s.backfill);
+    const auto text = [&out](const char* name, const std::string& value) {
+        if (!value.empty())
+            out[name] = value;
+    };
+    text("required_label", s.required_label);
+    text("data_rack", s.data_rack);
+    text("image", s.image);
+    if (s.max_per_target != 0)
+        out["max_per_target"] = s.max_per_target;
+    if (s.latency_objective.count() != 0)
+        out["latency_objective_us"] = s.latency_objective.count();
+    if (s.max_unavailable != 0)
+        out["max_unavailable"] = s.max_unavailable;
+    return out;
+}
+
+step_spec decode_step(const json& in)
+{
+    step_spec s;
+    s.tasks = in.at("tasks").get<std::uint32_t>();
+    s.need.milli_cpu = in.at("cpu").get<std::int64_t>();
+    s.need.memory_mib = in.at("memory").get<std::int64_t>();
+    s.need.accelerators = in.value("accelerators", std::int64_t{0});
+    s.estimate = duration{in.at("estimate_us").get<std::int64_t>()};
+    s.after = in.value("after", std::vector<std::uint32_t>{});
+    s.saves_progress = in.value("saves_progress", false);
+    s.gang = in.value("gang", false);
+    s.rack_sensitive = in.value("rack_sensitive", false);
+    s.speculative = in.value("speculative", false);
+    s.permanent = in.value("permanent", false);
+    s.backfill = in.value("backfill", false);
+    s.required_label = in.value("required_label", "");
+    s.data_rack = in.value("data_rack", "");
+    s.image = in.value("image", "");
+    s.max_per_target = in.value("max_per_target", 0U);
+    s.latency_objective = duration{in.value("latency_objective_us", std::int64_t{0})};
+    s.max_unavailable = in.value("max_unavailable", 0U);
+    return s;
+}
+
+json encode_task(const task_position& p, const task& t)
+{
+    json row = json::array(
+        {p.occurrence, p.step, p.index, t.done ? 1 : 0, t.last_run, t.failures, t.done ? "" : t.checkpoint});
+    if (t.run) {
+        row.push_back(t.run->number);
+        row.push_back(t.run->target.str());
+        row.push_back(t.run->born);
+    }
+    return row;
+}
+
+constexpr std::size_t task_columns = 7;
+constexpr std::size_t task_columns_with_run = 10;
+
+} // namespace
+
+std::string encode_job(const job_record& record)
+{
+    json steps = json::array();
+    for (const step_spec& s : record.spec.steps)
+        steps.push_back(encode_step(s));
+    json out{{"queue", record.queue.str()},    {"service", record.service.str()},
+             {"team", record.team.str()},      {"accepted_ms", record.accepted_ms},
+             {"payload", record.spec.payload}, {"steps", std::move(steps)}};
+    if (record.spec.scheduled) {
+        out["occurrences"] = record.spec.occurrences;
+        out["first_due_ms"] = record.spec.first_due_ms;
+        out["interval_ms"] = record.spec.interval_ms;
+    }
+    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<job_record> decode_job(const job_id& id, std::string_view text)
+{
+    try {
+        const json in = json::parse(text);
+        job_record record;
+        record.id = id;
+        record.queue = queue_id{in.at("queue").get<std::string>()};
+        record.service = service_id{in.at("service").get<std::string>()};
+        record.team = team_id{in.at("team").get<std::string>()};
+        record.accepted_ms = in.at("accepted_ms").get<std::int64_t>();
+        record.spec.payload = in.at("payload").get<std::string>();
+        for (const json& s : in.at("steps"))
+            record.spec.steps.push_back(decode_step(s));
+        if (in.contains("occurrences")) {
+            record.spec.scheduled = true;
+            record.spec.occurrences = in.at("occurrences").get<std::uint32_t>();
+            record.spec.first_due_ms = in.at("first_due_ms").get<std::int64_t>();
+            record.spec.interval_ms = in.at("interval_ms").get<std::int64_t>();
+        }
+        return record;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encode_progress(const job& j)
+{
+    json out{{"state", name_of(j.state())}, {"started", j.started()}};
+    if (!is_final(j.state())) {
+        json rows = json::array();
+        const job_spec& spec = j.record().spec;
+        for (std::uint32_t k = 0; k < spec.occurrences; ++k) {
+            for (std::uint32_t s = 0; s < spec.steps.size(); ++s) {
+                for (std::uint32_t n = 0; n < spec.steps[s].tasks; ++n) {
+                    const task_position p{k, s, n};
+                    if (j.at(p).last_run != 0)
+                        rows.push_back(encode_task(p, j.at(p)));
+                }
+            }
+        }
+        out["tasks"] = std::move(rows);
+    }
+    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+bool restore_progress(job& j, std::string_view text)
+{
+    try {
+        const json in = json::parse(text);
+        const std::optional<job_state> state = parse_enum<job_state>(in.at("state").get<std::string>());
+        if (!state)
+            return false;
+        if (is_final(*state)) {
+            j.restore_final(*state);
+            return true;
+        }
+        for (const json& row : in.at("tasks")) {
+            const task_position p{row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint32_t>(),
+                                  row.at(2).get<std::uint32_t>()};
+            if (!j.contains(p) || row.size() < task_columns)
+                return false;
+            task& t = j.at(p);
+            t.done = row.at(3).get<int>() != 0;
+            t.last_run = row.at(4).get<run_number>();
+            t.failures = row.at(5).get<std::uint32_t>();
+            t.checkpoint = row.at(6).get<std::string>();
+            if (row.size() >= task_columns_with_run) {
+                task_run r;
+                r.number = row.at(7).get<run_number>();
+                r.target = target_id{row.at(8).get<std::string>()};
+                r.born = row.at(9).get<target_birth>();
+                r.phase = run_phase::unconfirmed;
+                t.run = std::move(r);
+            }
+        }
+        j.restore_progress(in.at("started").get<bool>());
+        return true;
+    } catch (const json::exception&) {
+        return false;
+    }
+}
+
+std::optional<job_state> decode_progress_state(std::string_view text)
+{
+    try {
+        return parse_enum<job_state>(json::parse(text).at("state").get<std::string>());
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/job_front.cpp
@@ -0,0 +1,187 @@
+#include "jobs/job_front.h"
+
+#include "jobs/job_codec.h"
+#include "jobs/job_keys.h"
+
+namespace mjm {
+
+job_front::job_front(job_front_settings settings, transaction_store& store, leader_link& leader,
+                     const clock& time, logger log)
+    : settings_{settings}, store_{store}, leader_{leader}, time_{time}, log_{std::move(log)}
+{
+}
+
+tl::expected<job_front::route, front_errc> job_front::resolve(const caller_address& caller) const
+{
+    if (!config_)
+        return tl::unexpected{front_errc::no_config};
+    route r;
+    r.queue = config_->match(caller.host, caller.path);
+    if (r.queue == nullptr)
+        return tl::unexpected{front_errc::no_such_queue};
+    if (!r.queue->anonymous || !caller.key.empty()) {
+        const auto team = config_->teams_by_key.find(caller.key);
+        if (team != config_->teams_by_key.end())
+            r.team = team->second;
+        else if (!r.queue->anonymous)
+            return tl::unexpected{front_errc::unknown_key};
+    }
+    r.id = job_id{caller.path.substr(r.queue->prefix.size())};
+    return r;
+}
+
+bool job_front::valid(const job_spec& spec) const
+{
+    std::size_t tasks = 0;
+    for (std::size_t s = 0; s < spec.steps.size(); ++s) {
+        tasks += spec.steps[s].tasks;
+        for (const std::uint32_t before : spec.steps[s].after) {
+            if (before >= s)
+                return false;
+        }
+    }
+    return tasks > 0 && spec.occurrences > 0 && tasks * spec.occurrences <= settings_.max_tasks;
+}
+
+void job_front::submit(const caller_address& caller, job_spec spec, done_callback done)
+{
+    const tl::expected<route, front_errc> r = resolve(caller);
+    if (!r) {
+        done(tl::unexpected{r.error()});
+        return;
+    }
+    if (r->id.empty() || !is_valid_name(r->id.str()) || !valid(spec)) {
+        done(tl::unexpected{front_errc::invalid_job});
+        return;
+    }
+    job_record record;
+    record.id = r->id;
+    record.queue = r->queue->id;
+    record.service = r->queue->service;
+    record.team = r->team;
+    record.accepted_ms = time_.wall_now().time_since_epoch().count();
+    record.spec = std::move(spec);
+    write_job(r->id, encode_job(record), time_.now() + settings_.write_time, false, std::move(done));
+}
+
+void job_front::write_job(const job_id& id, const std::string& text, timestamp give_up, bool maybe_written,
+                          done_callback done)
+{
+    store_transaction t;
+    const std::string key = job_keys::of(job_keys::accepted, id);
+    t.expected.emplace_back(key, 0);
+    t.writes.push_back({key, text, std::nullopt, 0});
+    store_.commit(std::move(t), [this, id, text, give_up, maybe_written, done = std::move(done)](
+                                    const tl::expected<store_revision, transaction_error>& result) mutable {
+        if (result || result.error().code == store_errc::conflict) {
+            log_.info("job_accepted", {{"job", id}, {"outcome", result ? "stored" : "stored before"}});
+            done({});
+            return;
+        }
+        const store_errc ec = result.error().code;
+        const bool unknown = maybe_written || may_have_taken_effect(ec);
+        // A refusal must be true, so that after one attempt without an answer only a stored job or a
+        // conflict settles the outcome.
+        if (unknown && time_.now() < give_up && ec != store_errc::unreachable) {
+            write_job(id, text, give_up, true, std::move(done));
+            return;
+        }
+        const front_errc outcome = unknown ? front_errc::outcome_unknown : front_errc::store_unavailable;
+        log_.warn("job_not_accepted", {{"job", id}, {"error", name_of(ec)}, {"outcome", name_of(outcome)}});
+        done(tl::unexpected{outcome});
+    });
+}
+
+void job_front::cancel(const caller_address& caller, done_callback done)
+{
+    const tl::expected<route, front_errc> r = resolve(caller);
+    if (!r) {
+        done(tl::unexpected{r.error()});
+        return;
+    }
+    const job_id id = r->id;
+    store_.get(
+        job_keys::of(job_keys::accepted, id),
+        [this, id, done = std::move(done)](const tl::expected<kv_entry, store_errc>& e) mutable {
+            if (!e) {
+                done(tl::unexpected{e.error() == store_errc::not_found ? front_errc::unknown_job
+                                                                       : front_errc::store_unavailable});
+                return;
+            }
+            store_transaction t;
+            const std::string key = job_keys::of(job_keys::cancelled, id);
+            t.expected.emplace_back(key, 0);
+            t.writes.push_back(
+                {key, std::to_string(time_.wall_now().time_since_epoch().count()), std::nullopt, 0});
+            store_.commit(std::move(t), [this, id, done = std::move(done)](
+                                            const tl::expected<store_revision, transaction_error>& result) {
+                if (result || result.error().code == store_errc::conflict) {
+                    log_.info("cancel_accepted", {{"job", id}});
+                    done({});
+                    return;
+                }
+                const store_errc ec = result.error().code;
+                log_.warn("cancel_not_accepted", {{"job", id}, {"error", name_of(ec)}});
+                done(tl::unexpected{may_have_taken_effect(ec) ? front_errc::outcome_unknown
+                                                              : front_errc::store_unavailable});
+            });
+        });
+}
+
+void job_front::state_of(const caller_address& caller, leader_link::state_callback done)
+{
+    const tl::expected<route, front_errc> r = resolve(caller);
+    if (!r) {
+        done(tl::unexpected{r.error()});
+        return;
+    }
+    const job_id id = r->id;
+    leader_.state_of(id,
+                     [this, id, done = std::move(done)](const tl::expected<job_state, front_errc>& state) {
+                         if (state)
+                             done(*state);
+                         else
+                             read_state(id, done);
+                     });
+}
+
+void job_front::read_state(const job_id& id, leader_link::state_callback done)
+{
+    store_.get(job_keys::of(job_keys::progress, id),
+               [this, id, done = std::move(done)](const tl::expected<kv_entry, store_errc>& e) {
+                   if (!e && e.error() != store_errc::not_found) {
+                       done(tl::unexpected{front_errc::store_unavailable});
+                       return;
+                   }
+                   const std::optional<job_state> state = e ? decode_progress_state(e->value) : std::nullopt;
+                   if (state)
+                       done(*state == job_state::pending ? job_state::running : *state);
+                   else
+                       read_accepted(id, done);
+               });
+}
+
+void job_front::read_accepted(const job_id& id, leader_link::state_callback done)
+{
+    store_.get(job_keys::of(job_keys::accepted, id),
+               [done = std::move(done)](const tl::expected<kv_entry, store_errc>& e) {
+                   if (e)
+                       done(job_state::pending);
+                   else if (e.error() == store_errc::not_found)
+                       done(tl::unexpected{front_errc::unknown_job});
+                   else
+                       done(tl::unexpected{front_errc::store_unavailable});
+               });
+}
+
+void job_front::waiting_jobs(const caller_address& caller, leader_link::count_callback done)
+{
+    const tl::expected<route, front_errc> r = resolve(caller);
+    if (!r) {
+        done(tl::unexpected{r.error()});
+        return;
+    }
+    leader_.waiting_jobs(r->queue->id, std::move(done));
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/job_leader.cpp
@@ -0,0 +1,326 @@
+#include "jobs/job_leader.h"
+
+#include "jobs/job_codec.h"
+#include "jobs/job_keys.h"
+
+namespace mjm {
+
+namespace {
+
+constexpr std::chrono::seconds forget_interval{5};
+
+} // namespace
+
+job_leader::job_leader(job_leader_settings settings, job_leader_services services, fencing_token token,
+                       std::shared_ptr<const fleet_config> config,
+                       std::function<void(const std::string&)> superseded)
+    : settings_{settings}, services_{std::move(services)}, token_{token}, superseded_{std::move(superseded)},
+      scheduler_{settings.scheduling, token, now(), [this](const scheduler_note& n) { log_note(n); }},
+      journal_{services_.store,
+               services_.time,
+               token,
+               {[this](const std::vector<progress_write>& writes) {
+                    scheduler_.on_stored(writes, now());
+                    pump();
+                },
+                [this](const std::string& why) {
+                    stopped_ = true;
+                    superseded_(why);
+                },
+                [this](tl::expected<void, store_errc> contact) {
+                    if (contact)
+                        services_.log.info("store_regained", {{"user", "journal"}});
+                    else
+                        services_.log.warn("store_lost",
+                                           {{"user", "journal"}, {"error", name_of(contact.error())}});
+                }}}
+{
+    scheduler_.set_config(std::move(config));
+    next_forget_ = services_.time.now() + forget_interval;
+    load_progress({});
+    target_directory::handler h;
+    h.on_snapshot = [this](const std::vector<target_info>& targets) { on_targets(targets); };
+    h.on_target = [this](const target_info& info) {
+        scheduler_.set_target(info, now());
+        pump();
+    };
+    h.on_removed = [this](const target_id& id) { scheduler_.unlist_target(id, now()); };
+    services_.directory.open(std::move(h));
+}
+
+job_leader::~job_leader()
+{
+    services_.directory.close();
+}
+
+scheduler_time job_leader::now() const
+{
+    return {services_.time.now(), services_.time.wall_now().time_since_epoch().count()};
+}
+
+void job_leader::load_progress(const std::string& after)
+{
+    services_.store.list(std::string{job_keys::progress}, after,
+                         guarded([this, after](const tl::expected<store_page, store_errc>& page) {
+                             if (!page) {
+                                 load_after_ = after;
+                                 next_load_ = services_.time.now() + settings_.retry;
+                                 return;
+                             }
+                             for (const kv_entry& e : page->entries) {
+                                 if (const std::optional<job_id> id =
+                                         job_keys::job_of(job_keys::progress, e.key))
+                                     stored_progress_[*id] = e.value;
+                             }
+                             if (page->more && !page->entries.empty())
+                                 load_progress(page->entries.back().key);
+                             else
+                                 follow_inbox();
+                         }));
+}
+
+void job_leader::follow_inbox()
+{
+    progress_loaded_ = true;
+    prefix_watch::handler h;
+    h.on_snapshot = [this](const std::vector<kv_entry>& entries) { on_inbox_snapshot(entries); };
+    h.on_change = [this](const store_change& change) {
+        if (!change.removed)
+            on_inbox(change.entry);
+        pump();
+    };
+    h.on_contact = [this](tl::expected<void, store_errc> contact) {
+        if (contact)
+            services_.log.info("store_regained", {{"user", "inbox"}});
+        else
+            services_.log.warn("store_lost", {{"user", "inbox"}, {"error", name_of(contact.error())}});
+    };
+    inbox_ = std::make_unique<prefix_watch>(services_.store, services_.time,
+                                            prefix_watch_settings{std::string{job_keys::inbox}}, h);
+    inbox_->tick();
+}
+
+void job_leader::on_inbox_snapshot(const std::vector<kv_entry>& entries)
+{
+    for (const kv_entry& e : entries) {
+        if (e.key.starts_with(job_keys::accepted))
+            on_inbox(e);
+    }
+    for (const kv_entry& e : entries) {
+        if (e.key.starts_with(job_keys::cancelled))
+            on_inbox(e);
+    }
+    if (!loaded_)
+        services_.log.info(
+            "jobs_loaded",
+            {{"entries", entries.size()}, {"with_progress", stored_progress_.size()}, {"token", token_}});
+    loaded_ = true;
+    stored_progress_.clear();
+    pump();
+}
+
+void job_leader::on_inbox(const kv_entry& entry)
+{
+    if (const std::optional<job_id> id = job_keys::job_of(job_keys::cancelled, entry.key)) {
+        scheduler_.cancel_job(*id, now());
+        return;
+    }
+    const std::optional<job_id> id = job_keys::job_of(job_keys::accepted, entry.key);
+    if (!id || scheduler_.find_job(*id) != nullptr)
+        return;
+    std::optional<job_record> record = decode_job(*id, entry.value);
+    if (!record) {
+        services_.log.error("job_unreadable", {{"job", *id}, {"revision", entry.revision}});
+        return;
+    }
+    const auto progress = stored_progress_.find(*id);
+    if (progress == stored_progress_.end())
+        scheduler_.add_job(std::move(*record), now());
+    else if (!scheduler_.restore_job(std::move(*record), progress->second, now()))
+        services_.log.error("progress_unreadable", {{"job", *id}});
+}
+
+void job_leader::on_targets(const std::vector<target_info>& targets)
+{
+    std::set<target_id> listed;
+    for (const target_info& info : targets) {
+        listed.insert(info.id);
+        scheduler_.set_target(info, now());
+    }
+    std::vector<target_id> missing;
+    for (const auto& [id, t] : scheduler_.targets()) {
+        if (!listed.contains(id))
+            missing.push_back(id);
+    }
+    for (const target_id& id : missing)
+        scheduler_.unlist_target(id, now());
+    has_targets_ = true;
+    pump();
+}
+
+void job_leader::set_config(std::shared_ptr<const fleet_config> config)
+{
+    scheduler_.set_config(std::move(config));
+    pump();
+}
+
+void job_leader::tick()
+{
+    if (stopped_)
+        return;
+    if (load_after_ && services_.time.now() >= next_load_) {
+        const std::string after = *load_after_;
+        load_after_.reset();
+        load_progress(after);
+    }
+    if (!journal_opened_ && !journal_opening_ && services_.time.now() >= next_load_) {
+        journal_opening_ = true;
+        journal_.open(guarded([this](const tl::expected<void, store_errc>& result) {
+            journal_opening_ = false;
+            journal_opened_ = result.has_value();
+            if (!result)
+                next_load_ = services_.time.now() + settings_.retry;
+        }));
+    }
+    if (inbox_)
+        inbox_->tick();
+    services_.directory.tick();
+    if (loaded_) {
+        scheduler_.tick(now());
+        forget_old_jobs();
+    }
+    pump();
+}
+
+void job_leader::pump()
+{
+    if (stopped_)
+        return;
+    if (scheduler_.superseded()) {
+        stopped_ = true;
+        superseded_("a target obeys a newer leader");
+        return;
+    }
+    if (!loaded_ || !has_targets_)
+        return;
+    if (journal_.idle()) {
+        scheduler_.plan(now());
+        if (scheduler_.has_unstored())
+            journal_.write(scheduler_.unstored(progress_journal::capacity()));
+    }
+    for (const target_command& command : scheduler_.take_commands())
+        send(command);
+    send_observations();
+}
+
+void job_leader::send(const target_command& command)
+{
+    if (const start_command* start = std::get_if<start_command>(&command)) {
+        services_.orders.start(
+            start->target, start->order,
+            guarded([this, target = start->target.id, task = start->order.task,
+                     run = start->order.run](const tl::expected<order_answer, order_errc>& answer) {
+                if (!answer)
+                    services_.log.warn("start_refused", {{"task", to_string(task)},
+                                                         {"run", run},
+                                                         {"target", target},
+                                                         {"error", name_of(answer.error())}});
+                scheduler_.on_start_answer(target, task, run, answer, now());
+                pump();
+            }));
+    } else if (const stop_command* stop = std::get_if<stop_command>(&command)) {
+        services_.orders.stop(stop->target, stop->task, stop->run, token_,
+                              guarded([this, target = stop->target.id, task = stop->task, run = stop->run](
+                                          const tl::expected<order_answer, order_errc>& answer) {
+                                  scheduler_.on_stop_answer(target, task, run, answer, now());
+                                  pump();
+                              }));
+    } else if (const pace_command* pace = std::get_if<pace_command>(&command)) {
+        services_.log.info("pace_changed", {{"task", to_string(pace->task)},
+                                            {"run", pace->run},
+                                            {"target", pace->target.id},
+                                            {"percent", pace->percent}});
+        services_.orders.pace(pace->target, pace->task, pace->run, pace->percent, token_,
+                              guarded([](const tl::expected<order_answer, order_errc>&) {}));
+    }
+}
+
+void job_leader::send_observations()
+{
+    const timestamp at = services_.time.now();
+    for (const target_id& id : scheduler_.due_observations(at)) {
+        const lease_request request = scheduler_.begin_observation(id, at);
+        services_.orders.observe(
+            scheduler_.ref_of(id), request,
+            guarded([this, id, at](const tl::expected<target_report, order_errc>& report) {
+                scheduler_.on_report(id, report, at, now());
+                pump();
+            }));
+    }
+}
+
+void job_leader::forget_old_jobs()
+{
+    const timestamp at = services_.time.now();
+    if (at < next_forget_)
+        return;
+    next_forget_ = at + forget_interval;
+    std::vector<job_id> expired;
+    for (const job_id& id : scheduler_.finished_jobs()) {
+        const auto it = finished_.try_emplace(id, at).first;
+        // Three keys a job have to fit into one transaction.
+        if (at - it->second > settings_.retention && expired.size() < max_transaction_entries / 3 - 1)
+            expired.push_back(id);
+    }
+    if (expired.empty())
+        return;
+    store_transaction t;
+    t.expected.emplace_back(std::string{job_keys::leader}, token_);
+    for (const job_id& id : expired) {
+        t.removals.push_back(job_keys::of(job_keys::accepted, id));
+        t.removals.push_back(job_keys::of(job_keys::cancelled, id));
+        t.removals.push_back(job_keys::of(job_keys::progress, id));
+    }
+    services_.store.commit(std::move(t),
+                           guarded([this, expired](const tl::expected<store_revision, transaction_error>& r) {
+                               if (!r)
+                                   return;
+                               for (const job_id& id : expired) {
+                                   scheduler_.forget_job(id);
+                                   finished_.erase(id);
+                               }
+                           }));
+}
+
+tl::expected<job_state, leader_errc> job_leader::state_of(const job_id& id) const
+{
+    if (!loaded_)
+        return tl::unexpected{leader_errc::loading};
+    const job* j = scheduler_.find_job(id);
+    if (j == nullptr)
+        return tl::unexpected{leader_errc::unknown_job};
+    if (j->cancelled() && !is_final(j->state()))
+        return job_state::cancelled;
+    if (j->state() == job_state::pending && j->started())
+        return job_state::running;
+    return j->state();
+}
+
+tl::expected<std::size_t, leader_errc> job_leader::waiting_jobs(const queue_id& queue) const
+{
+    if (!loaded_)
+        return tl::unexpected{leader_errc::loading};
+    return scheduler_.waiting_jobs(queue);
+}
+
+void job_leader::log_note(const scheduler_note& n)
+{
+    services_.log.info(n.event, {{"job", n.job},
+                                 {"task", n.task},
+                                 {"run", n.run},
+                                 {"target", n.target},
+                                 {"reason", n.reason},
+                                 {"age_ms", n.age_ms}});
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/job_node.cpp
@@ -0,0 +1,76 @@
+#include "jobs/job_node.h"
+
+namespace mjm {
+
+namespace {
+
+leadership_settings with_address(leadership_settings settings, const std::string& address)
+{
+    settings.self = address;
+    return settings;
+}
+
+} // namespace
+
+job_node::job_node(job_node_settings settings, job_node_services services)
+    : settings_{std::move(settings)}, services_{std::move(services)}, front_{settings_.front, services_.store,
+                                                                             services_.leader, services_.time,
+                                                                             services_.log},
+      election_{services_.store, services_.time, services_.random,
+                with_address(settings_.election, settings_.peer_address),
+                [this](leadership_event event, const std::string& detail) { on_election(event, detail); }}
+{
+}
+
+void job_node::on_election(leadership_event event, const std::string& detail)
+{
+    services_.log.info(event, {{"detail", detail}, {"token", election_.token()}});
+    // The leader is created and destroyed by `tick`, since it may be the origin of this call.
+    if (event == leadership_event::gained)
+        start_leader_ = true;
+    else if (event == leadership_event::lost) {
+        start_leader_ = false;
+        end_leader_ = true;
+    }
+}
+
+void job_node::tick()
+{
+    if (step_down_) {
+        step_down_ = false;
+        election_.step_down(step_down_reason_);
+    }
+    election_.tick();
+    if (end_leader_) {
+        end_leader_ = false;
+        leader_.reset();
+    }
+    if (start_leader_ && config_) {
+        start_leader_ = false;
+        leader_ = std::make_unique<job_leader>(settings_.leader,
+                                               job_leader_services{services_.store, services_.orders,
+                                                                   services_.directory, services_.time,
+                                                                   services_.log},
+                                               election_.token(), config_, [this](const std::string& why) {
+                                                   step_down_reason_ = why;
+                                                   step_down_ = true;
+                                               });
+    }
+    if (leader_)
+        leader_->tick();
+}
+
+void job_node::set_config(std::shared_ptr<const fleet_config> config)
+{
+    config_ = std::move(config);
+    front_.set_config(config_);
+    if (leader_)
+        leader_->set_config(config_);
+}
+
+void job_node::resign()
+{
+    election_.resign();
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/job_node.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/random_source.h"
+#include "jobs/job_front.h"
+#include "jobs/job_leader.h"
+#include "jobs/leadership.h"
+
+#include <memory>
+#include <string>
+
+namespace mjm {
+
+struct job_node_settings {
+    std::string peer_address; ///< `address:port` at which other entry hosts reach this one.
+    leadership_settings election;
+    job_leader_settings leader;
+    job_front_settings front;
+};
+
+struct job_node_services {
+    transaction_store& store;
+    target_orders& orders;
+    target_directory& directory;
+    leader_link& leader;
+    const clock& time;
+    random_source& random;
+    logger log;
+};
+
+/// The job service of one entry host: takes callers' requests, and leads when it is elected.
+class job_node {
+public:
+    job_node(job_node_settings settings, job_node_services services);
+
+    void tick();
+    void set_config(std::shared_ptr<const fleet_config> config);
+    /// Gives up the leadership for good; callers are still answered.
+    void resign();
+
+    [[nodiscard]] job_front& front() { return front_; }
+    /// Null while this host does not lead.
+    [[nodiscard]] const job_leader* leader() const { return leader_.get(); }
+    [[nodiscard]] std::string leader_address() const { return election_.leader(); }
+
+private:
+    void on_election(leadership_event event, const std::string& detail);
+
+    const job_node_settings settings_;
+    job_node_services services_;
+    job_front front_;
+    std::shared_ptr<const fleet_config> config_;
+    std::unique_ptr<job_leader> leader_;
+    std::string step_down_reason_; ///< Set by the leader; it ends with the next tick.
+    bool step_down_ = false;
+    bool start_leader_ = false;
+    bool end_leader_ = false;
+    leadership election_;
+};
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/peer_jobs.cpp
@@ -0,0 +1,120 @@
+#include "jobs/peer_jobs.h"
+
+#include "net/endpoint_text.h"
+
+#include <charconv>
+
+namespace mjm {
+
+namespace {
+
+// A leader answers from memory; later than this the store is the quicker source.
+constexpr std::chrono::milliseconds peer_timeout{400};
+constexpr int status_not_found = 404;
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+} // namespace
+
+peer_leader_link::peer_leader_link(http_client& client, executor& callbacks, source where)
+    : client_{client}, callbacks_{callbacks}, where_{std::move(where)}
+{
+}
+
+void peer_leader_link::state_of(const job_id& id, state_callback done)
+{
+    if (const job_leader* leader = where_.local()) {
+        const tl::expected<job_state, leader_errc> state = leader->state_of(id);
+        if (state)
+            done(*state);
+        else
+            done(tl::unexpected{state.error() == leader_errc::unknown_job ? front_errc::unknown_job
+                                                                          : front_errc::leader_unavailable});
+        return;
+    }
+    ask("/jobs/" + id.str(), [done = std::move(done)](const tl::expected<http_response, front_errc>& r) {
+        if (!r) {
+            done(tl::unexpected{r.error()});
+            return;
+        }
+        const std::optional<job_state> state = parse_enum<job_state>(r->body);
+        if (state)
+            done(*state);
+        else
+            done(tl::unexpected{front_errc::leader_unavailable});
+    });
+}
+
+void peer_leader_link::waiting_jobs(const queue_id& queue, count_callback done)
+{
+    if (const job_leader* leader = where_.local()) {
+        const tl::expected<std::size_t, leader_errc> count = leader->waiting_jobs(queue);
+        if (count)
+            done(*count);
+        else
+            done(tl::unexpected{front_errc::leader_unavailable});
+        return;
+    }
+    ask("/queues/" + queue.str(), [done = std::move(done)](const tl::expected<http_response, front_errc>& r) {
+        std::size_t count = 0;
+        if (!r)
+            done(tl::unexpected{r.error()});
+        else if (std::from_chars(r->body.data(), r->body.data() + r->body.size(), count).ec != std::errc{})
+            done(tl::unexpected{front_errc::leader_unavailable});
+        else
+            done(count);
+    });
+}
+
+void peer_leader_link::ask(const std::string& path,
+                           std::function<void(const tl::expected<http_response, front_errc>&)> done)
+{
+    const std::optional<http_endpoint> endpoint = parse_endpoint(where_.leader_address());
+    if (!endpoint) {
+        done(tl::unexpected{front_errc::leader_unavailable});
+        return;
+    }
+    http_request request;
+    request.method = "GET";
+    request.path = path;
+    client_.send(*endpoint, std::move(request), peer_timeout,
+                 [&callbacks = callbacks_, done = std::move(done)](tl::expected<http_response, http_errc> r) {
+                     tl::expected<http_response, front_errc> result{
+                         tl::unexpected{front_errc::leader_unavailable}};
+                     if (r && r->status == status_ok)
+                         result = std::move(*r);
+                     else if (r && r->status == status_not_found)
+                         result = tl::unexpected{front_errc::unknown_job};
+                     callbacks.post([done, result = std::move(result)] { done(result); });
+                 });
+}
+
+http_response answer_peer(const http_request& request, const job_leader* leader)
+{
+    http_response response;
+    response.content_type = "text/plain";
+    response.status = status_unavailable;
+    const std::vector<std::string> path = request.path_segments();
+    if (leader == nullptr || path.size() != 2)
+        return response;
+    if (path[0] == "jobs") {
+        const tl::expected<job_state, leader_errc> state = leader->state_of(job_id{path[1]});
+        if (state) {
+            response.status = status_ok;
+            response.body = name_of(*state);
+        } else if (state.error() == leader_errc::unknown_job) {
+            response.status = status_not_found;
+        }
+    } else if (path[0] == "queues") {
+        const tl::expected<std::size_t, leader_errc> count = leader->waiting_jobs(queue_id{path[1]});
+        if (count) {
+            response.status = status_ok;
+            response.body = std::to_string(*count);
+        }
+    } else {
+        response.status = status_not_found;
+    }
+    return response;
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/placement.cpp
@@ -0,0 +1,70 @@
+#include "jobs/placement.h"
+
+#include <algorithm>
+
+namespace mjm {
+
+namespace {
+
+// Penalties order the targets: a worse kind always comes after a better one.
+constexpr double wrong_rack_penalty = 10.0;
+constexpr double avoided_penalty = 100.0;
+
+bool may_run(const target_status& t, const placement_request& request, timestamp now)
+{
+    if (!t.listed || !t.synced || !t.reachable || t.cordoned || t.info.state != target_state::ready)
+        return false;
+    if (now < t.avoid_until)
+        return false;
+    const step_spec& step = *request.step;
+    if (!step.required_label.empty() &&
+        std::find(t.info.labels.begin(), t.info.labels.end(), step.required_label) == t.info.labels.end())
+        return false;
+    if (step.max_per_target != 0 && request.step_runs != nullptr) {
+        const auto it = request.step_runs->find(t.info.id);
+        if (it != request.step_runs->end() && it->second >= step.max_per_target)
+            return false;
+    }
+    return has_room(t, step);
+}
+
+double cost(const target_status& t, const placement_request& request)
+{
+    const step_spec& step = *request.step;
+    const double fill = t.used.dominant_fraction(t.info.capacity);
+    double result = step.permanent || step.backfill ? fill : 1.0 - fill;
+    const std::string& rack = step.data_rack.empty() ? request.preferred_rack : step.data_rack;
+    if (!rack.empty() && t.info.rack.str() != rack)
+        result += wrong_rack_penalty;
+    if (t.info.id.str() == request.avoided_target)
+        result += avoided_penalty;
+    return result;
+}
+
+} // namespace
+
+bool has_room(const target_status& t, const step_spec& step)
+{
+    const resources left = t.free();
+    return (step.backfill || step.need.milli_cpu <= left.milli_cpu) &&
+           step.need.memory_mib <= left.memory_mib && step.need.accelerators <= left.accelerators;
+}
+
+target_status* choose_target(const placement_request& request, const std::vector<target_status*>& pool,
+                             timestamp now)
+{
+    target_status* best = nullptr;
+    double best_cost = 0.0;
+    for (target_status* t : pool) {
+        if (!may_run(*t, request, now))
+            continue;
+        const double c = cost(*t, request);
+        if (best == nullptr || c < best_cost) {
+            best = t;
+            best_cost = c;
+        }
+    }
+    return best;
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -0,0 +1,158 @@
+#include "jobs/job_scheduler.h"
+
+#include <algorithm>
+
+namespace mjm {
+
+namespace {
+
+struct ranked_job {
+    work_rank rank;
+    job_id id;
+};
+
+std::int64_t limit_or_any(std::int64_t cap)
+{
+    return cap > 0 ? cap : std::numeric_limits<std::int64_t>::max();
+}
+
+} // namespace
+
+void job_scheduler::plan(scheduler_time time)
+{
+    if (!plan_needed_)
+        return;
+    plan_needed_ = false;
+    for (auto& [service, open] : open_by_service_) {
+        if (open.empty())
+            continue;
+        std::vector<ranked_job> ranked;
+        for (const job_id& id : open) {
+            const job& j = *jobs_.at(id).state;
+            if (j.cancelled() || is_final(j.state()))
+                continue;
+            const queue_config* queue = queue_of(j);
+            const job_objective objective =
+                objective_of(j, j.record().accepted_ms, queue == nullptr ? 1.0 : queue->stretch,
+                             queue == nullptr ? duration{0} : queue->objective_allowance);
+            ranked.push_back(
+                {rank_job(j, queue == nullptr ? 0 : queue->priority, objective, time.unix_ms), id});
+        }
+        std::sort(ranked.begin(), ranked.end(),
+                  [](const ranked_job& a, const ranked_job& b) { return a.rank < b.rank; });
+        std::vector<job_id> ids;
+        ids.reserve(ranked.size());
+        for (const ranked_job& it : ranked)
+            ids.push_back(it.id);
+        plan_pool(service, ids, time);
+    }
+}
+
+void job_scheduler::plan_pool(const service_id& service, const std::vector<job_id>& jobs, scheduler_time time)
+{
+    std::vector<target_status*> pool;
+    for (auto& [id, t] : targets_) {
+        if (t.info.service == service)
+            pool.push_back(&t);
+    }
+    if (pool.empty())
+        return;
+    for (const job_id& id : jobs)
+        plan_job(jobs_.at(id), pool, time);
+}
+
+void job_scheduler::plan_job(open_job& open, const std::vector<target_status*>& pool, scheduler_time time)
+{
+    job& j = *open.state;
+    for (std::uint32_t k = 0; k < j.record().spec.occurrences; ++k) {
+        if (!j.due(k, time.unix_ms))
+            break;
+        for (std::uint32_t s = 0; s < j.record().spec.steps.size(); ++s) {
+            if (!j.step_ready(k, s))
+                continue;
+            const step_spec& step = j.step(s);
+            for (std::uint32_t n = 0; n < step.tasks; ++n) {
+                const task_position p{k, s, n};
+                const task& t = j.at(p);
+                if (t.done || t.run || time.now < t.not_before)
+                    continue;
+                if (!within_cap(open, step))
+                    break;
+                const placement_request request{&step, &open.step_runs[s], t.failed_on, {}};
+                target_status* target = choose_target(request, pool, time.now);
+                if (target == nullptr)
+                    break;
+                plan_task(open, p, *target, time);
+            }
+        }
+    }
+}
+
+bool job_scheduler::within_cap(const open_job& open, const step_spec& step) const
+{
+    const team_id& team = open.state->record().team;
+    const auto config = config_->teams.find(team);
+    if (config == config_->teams.end())
+        return true;
+    const auto used = team_use_.find(team);
+    const resources after = (used == team_use_.end() ? resources{} : used->second) + step.need;
+    const resources& cap = config->second.cap;
+    return after.milli_cpu <= limit_or_any(cap.milli_cpu) &&
+           after.memory_mib <= limit_or_any(cap.memory_mib) &&
+           after.accelerators <= limit_or_any(cap.accelerators);
+}
+
+void job_scheduler::plan_task(open_job& open, const task_position& p, target_status& target,
+                              scheduler_time time)
+{
+    job& j = *open.state;
+    task& t = j.at(p);
+    task_run run;
+    run.number = ++t.last_run;
+    run.target = target.info.id;
+    run.born = target.info.born;
+    run.ordered_at = time.now;
+    t.run = std::move(run);
+    take_room(open, p, *t.run);
+    mark_changed(j);
+    t.run->planned_change = j.change;
+    const task_key key{j.id(), p};
+    note(scheduler_event::run_planned, j.id(), &key, t.last_run, target.info.id, {},
+         time.unix_ms - j.record().accepted_ms);
+}
+
+void job_scheduler::order_start(open_job& open, const task_position& p, scheduler_time time)
+{
+    job& j = *open.state;
+    task& t = j.at(p);
+    target_status* target = find_target(t.run->target);
+    if (target == nullptr || !target->reachable || !target->clock_known || !target->listed ||
+        target->info.state != target_state::ready || target->info.born != t.run->born) {
+        void_run(open, p, "target changed before the start", time);
+        return;
+    }
+    const std::int64_t lease_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(settings_.target_lease).count();
+    start_order order;
+    order.task = {j.id(), p};
+    order.run = t.run->number;
+    order.payload = j.record().spec.payload;
+    order.deadline_ms = target->clock_at_time(time.now) + lease_ms;
+    order.token = token_;
+    if (j.step(p.step).saves_progress)
+        order.checkpoint = t.checkpoint;
+    t.run->phase = run_phase::ordered;
+    t.run->ordered_at = time.now;
+    t.run->order_out = true;
+    target->lease_until = std::max(target->lease_until, lease_end(time.now));
+    commands_.emplace_back(start_command{ref_of(t.run->target), std::move(order)});
+}
+
+timestamp job_scheduler::lease_end(timestamp granted_at) const
+{
+    const double length =
+        static_cast<double>(settings_.target_lease.count()) * (1.0 + 2.0 * settings_.clock_drift);
+    return granted_at + duration{static_cast<std::int64_t>(length)} + settings_.lease_margin;
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -0,0 +1,384 @@
+#include "jobs/job_scheduler.h"
+
+#include <algorithm>
+
+namespace mjm {
+
+namespace {
+
+// A report may be as early as the answer that confirmed a start, on another connection.
+constexpr std::size_t max_backoff_doublings = 6;
+
+std::int64_t age_ms(timestamp now, timestamp since)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
+}
+
+} // namespace
+
+void job_scheduler::set_clock(target_status& t, std::int64_t clock_ms, timestamp now)
+{
+    t.clock_known = true;
+    t.clock_ms = clock_ms;
+    t.clock_at = now;
+}
+
+void job_scheduler::on_start_answer(const target_id& target, const task_key& key, run_number run,
+                                    const tl::expected<order_answer, order_errc>& answer, scheduler_time time)
+{
+    target_status* t = find_target(target);
+    if (answer && t != nullptr)
+        set_clock(*t, answer->clock_ms, time.now);
+    if (!answer && answer.error() == order_errc::fenced)
+        superseded_ = true;
+    open_job* open = find_open(key.job);
+    if (open == nullptr || !open->state->contains(key.position))
+        return;
+    task& it = open->state->at(key.position);
+    if (!it.run || it.run->number != run || it.run->target != target)
+        return;
+    it.run->order_out = false;
+    if (answer) {
+        it.run->answered_at = time.now;
+        it.run->started_at = time.now;
+        open->state->mark_started();
+        if (it.run->phase == run_phase::ordered)
+            it.run->phase = run_phase::running;
+        if (t != nullptr && !t->observing)
+            t->next_observation = std::min(t->next_observation, time.now);
+        return;
+    }
+    const order_errc ec = answer.error();
+    switch (ec) {
+    case order_errc::no_answer:
+        if (it.run->phase == run_phase::ordered)
+            it.run->phase = run_phase::unconfirmed;
+        if (t != nullptr && !t->observing)
+            t->next_observation = time.now;
+        return;
+    case order_errc::no_room:
+    case order_errc::unhealthy:
+    case order_errc::rejected:
+    case order_errc::bad_ticket:
+        if (t != nullptr)
+            t->avoid_until = std::max(t->avoid_until, time.now + settings_.refusal_pause);
+        break;
+    case order_errc::not_sent:
+        if (t != nullptr) {
+            t->reachable = false;
+            t->next_observation = std::min(t->next_observation, time.now);
+        }
+        break;
+    case order_errc::other_instance:
+        if (t != nullptr) {
+            unlist_target(target, time);
+            t->reachable = false;
+            void_runs_of_target(*t, "another target has the address", time);
+        }
+        break;
+    default:
+        break;
+    }
+    void_run(*open, key.position, name_of(ec).data(), time);
+}
+
+void job_scheduler::on_stop_answer(const target_id& target, const task_key& key, run_number run,
+                                   const tl::expected<order_answer, order_errc>& answer, scheduler_time time)
+{
+    target_status* t = find_target(target);
+    if (answer && t != nullptr)
+        set_clock(*t, answer->clock_ms, time.now);
+    if (!answer && answer.error() == order_errc::fenced)
+        superseded_ = true;
+    if (!answer && answer.error() == order_errc::other_instance && t != nullptr) {
+        unlist_target(target, time);
+        t->reachable = false;
+        void_runs_of_target(*t, "another target has the address", time);
+    }
+    open_job* open = find_open(key.job);
+    if (open == nullptr || !open->state->contains(key.position))
+        return;
+    task& it = open->state->at(key.position);
+    if (!it.run || it.run->number != run || it.run->target != target)
+        return;
+    it.run->order_out = false;
+    if (answer) {
+        it.run->answered_at = time.now;
+        if (t != nullptr && !t->observing)
+            t->next_observation = std::min(t->next_observation, time.now);
+    }
+}
+
+std::vector<target_id> job_scheduler::due_observations(timestamp now) const
+{
+    std::vector<target_id> out;
+    for (const auto& [id, t] : targets_) {
+        if (t.observing || now < t.next_observation)
+            continue;
+        if (!t.synced || !t.reachable || !t.runs.empty() || t.ends_noted < t.ends_seen)
+            out.push_back(id);
+    }
+    return out;
+}
+
+lease_request job_scheduler::begin_observation(const target_id& target, timestamp now)
+{
+    target_status& t = targets_.at(target);
+    t.observing = true;
+    lease_request request;
+    request.token = token_;
+    request.ends_noted = t.unstored.empty() ? t.ends_seen : t.unstored.front().sequence - 1;
+    t.ends_noted = request.ends_noted;
+    if (t.clock_known && !t.runs.empty()) {
+        request.deadline_ms =
+            t.clock_at_time(now) +
+            std::chrono::duration_cast<std::chrono::milliseconds>(settings_.target_lease).count();
+        t.lease_until = std::max(t.lease_until, lease_end(now));
+    }
+    if (t.synced && t.reachable && !t.runs.empty() && t.unstored.empty())
+        request.wait = settings_.observation_wait;
+    return request;
+}
+
+void job_scheduler::on_report(const target_id& target, const tl::expected<target_report, order_errc>& report,
+                              timestamp sent_at, scheduler_time time)
+{
+    target_status* t = find_target(target);
+    if (t == nullptr)
+        return;
+    t->observing = false;
+    if (!report) {
+        on_no_report(*t, report.error(), time);
+        return;
+    }
+    t->misses = 0;
+    if (!t->reachable) {
+        t->reachable = true;
+        note(scheduler_event::target_reachable, {}, nullptr, 0, target, {}, age_ms(time.now, sent_at));
+    }
+    set_clock(*t, report->clock_ms, time.now);
+    if (report->born != t->info.born) {
+        note(scheduler_event::target_reborn, {}, nullptr, 0, target,
+             std::to_string(t->info.born) + " to " + std::to_string(report->born));
+        t->info.born = report->born;
+        t->ends_seen = 0;
+        t->ends_noted = 0;
+        t->unstored.clear();
+        const std::set<task_key> runs = t->runs;
+        for (const task_key& key : runs) {
+            open_job* open = find_open(key.job);
+            if (open == nullptr)
+                continue;
+            const task& it = open->state->at(key.position);
+            if (it.run && it.run->born != report->born)
+                void_run(*open, key.position, "target started again", time);
+        }
+    }
+    t->synced = true;
+    for (const listed_end& end : report->ended) {
+        if (end.sequence <= t->ends_seen)
+            continue;
+        t->ends_seen = end.sequence;
+        on_end(*t, end, time);
+    }
+    compare_runs(*t, *report, sent_at, time);
+    adjust_pace(*t, *report);
+    note_stored_ends(*t);
+    t->next_observation =
+        time.now + (t->unstored.empty() ? settings_.observation_gap : settings_.store_grace);
+    plan_needed_ = true;
+}
+
+void job_scheduler::on_no_report(target_status& t, order_errc ec, scheduler_time time)
+{
+    if (ec == order_errc::fenced)
+        superseded_ = true;
+    if (ec == order_errc::other_instance) {
+        unlist_target(t.info.id, time);
+        t.reachable = false;
+        void_runs_of_target(t, "another target has the address", time);
+        t.next_observation = time.now + settings_.unreachable_retry;
+        return;
+    }
+    ++t.misses;
+    if (t.reachable && t.misses >= settings_.misses_until_unreachable) {
+        t.reachable = false;
+        note(scheduler_event::target_unreachable, {}, nullptr, 0, t.info.id, std::string{name_of(ec)},
+             t.misses);
+    }
+    t.next_observation = time.now + (t.reachable ? settings_.observation_gap : settings_.unreachable_retry);
+}
+
+void job_scheduler::on_end(target_status& t, const listed_end& end, scheduler_time time)
+{
+    open_job* open = find_open(end.task.job);
+    if (open == nullptr || !open->state->contains(end.task.position))
+        return;
+    job& j = *open->state;
+    task& it = j.at(end.task.position);
+    if (it.done || it.last_run != end.run || (it.run && it.run->target != t.info.id))
+        return; // an end of an earlier run; the task has moved on
+    const bool permanent = j.step(end.task.position.step).permanent;
+    note(scheduler_event::run_ended, j.id(), &end.task, end.run, t.info.id, std::string{name_of(end.how)},
+         it.run ? age_ms(time.now, it.run->ordered_at) : 0);
+    j.mark_started();
+    if (it.run) {
+        release_room(*open, end.task.position, *it.run);
+        it.run.reset();
+    }
+    if (!end.checkpoint.empty())
+        it.checkpoint = end.checkpoint;
+    if (end.how == run_end::done && !permanent) {
+        j.finish_task(end.task.position);
+        t.failures_in_a_row = 0;
+    } else if (end.how == run_end::failed) {
+        on_failed_run(t, *open, end.task.position, time);
+    }
+    mark_changed(j);
+    t.unstored.push_back({end.sequence, j.id(), j.change});
+    after_change(*open, time);
+}
+
+void job_scheduler::on_failed_run(target_status& t, open_job& open, const task_position& p,
+                                  scheduler_time time)
+{
+    job& j = *open.state;
+    task& it = j.at(p);
+    const queue_config* queue = queue_of(j);
+    j.fail_task(p, queue == nullptr ? settings_.default_attempts : queue->max_attempts);
+    it.failed_on = t.info.id.str();
+    const std::size_t doublings = std::min<std::size_t>(it.failures - 1, max_backoff_doublings);
+    it.not_before = time.now + settings_.failure_backoff * (1U << doublings);
+    if (t.last_failed_job != j.id()) {
+        ++t.failures_in_a_row;
+        t.last_failed_job = j.id();
+    }
+    if (t.failures_in_a_row >= settings_.failures_until_avoided) {
+        t.avoid_until = time.now + settings_.avoid_time;
+        t.failures_in_a_row = 0;
+        note(scheduler_event::target_avoided, j.id(), nullptr, 0, t.info.id, "runs of several jobs failed");
+    }
+}
+
+void job_scheduler::compare_runs(target_status& t, const target_report& report, timestamp sent_at,
+                                 scheduler_time time)
+{
+    std::set<std::pair<task_key, run_number>> listed;
+    for (const listed_run& r : report.running) {
+        listed.emplace(r.task, r.run);
+        open_job* open = find_open(r.task.job);
+        task* it = open != nullptr && open->state->contains(r.task.position)
+                       ? &open->state->at(r.task.position)
+                       : nullptr;
+        if (it == nullptr || !it->run || it->run->number != r.run || it->run->target != t.info.id) {
+            note(scheduler_event::unknown_run_stopped, r.task.job, &r.task, r.run, t.info.id,
+                 it == nullptr ? "unknown task" : "not the task's run");
+            commands_.emplace_back(stop_command{ref_of(t.info.id), r.task, r.run});
+            continue;
+        }
+        if (!r.checkpoint.empty())
+            it->checkpoint = r.checkpoint;
+        it->run->at_work = r.pace_percent >= full_pace;
+        if (it->run->phase == run_phase::unconfirmed || it->run->phase == run_phase::ordered) {
+            it->run->phase = run_phase::running;
+            it->run->answered_at = sent_at;
+            it->run->started_at = time.now;
+            open->state->mark_started();
+            after_change(*open, time);
+        }
+    }
+    const std::set<task_key> runs = t.runs;
+    for (const task_key& key : runs) {
+        open_job* open = find_open(key.job);
+        if (open == nullptr)
+            continue;
+        const task& it = open->state->at(key.position);
+        if (it.run && !listed.contains({key, it.run->number}))
+            on_missing_run(t, *open, key.position, sent_at, time);
+    }
+}
+
+void job_scheduler::on_missing_run(target_status& t, open_job& open, const task_position& p,
+                                   timestamp sent_at, scheduler_time time)
+{
+    task& it = open.state->at(p);
+    task_run& run = *it.run;
+    switch (run.phase) {
+    case run_phase::planned:
+    case run_phase::ordered:
+        return;
+    case run_phase::running:
+        if (run.answered_at < sent_at)
+            void_run(open, p, "not listed by the target", time);
+        return;
+    case run_phase::unconfirmed:
+        // A run of an earlier leader can't arrive any more, since the target has seen this leader's token.
+        if (run.ordered_at == timestamp{})
+            void_run(open, p, "never arrived", time);
+        else if (run.ordered_at < sent_at)
+            stop_run(open, p, "start without an answer", time.now);
+        return;
+    case run_phase::stopping:
+        if (!run.order_out && run.answered_at != timestamp{} && run.answered_at < sent_at)
+            void_run(open, p, "stopped", time);
+        return;
+    }
+    static_cast<void>(t);
+}
+
+void job_scheduler::adjust_pace(target_status& t, const target_report& report)
+{
+    bool harmed = false;
+    bool serves = false;
+    bool calm = true;
+    for (const listed_run& r : report.running) {
+        const open_job* open = find_open(r.task.job);
+        if (open == nullptr || !open->state->contains(r.task.position))
+            continue;
+        const double objective =
+            static_cast<double>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                    open->state->step(r.task.position.step).latency_objective)
+                                    .count());
+        if (objective <= 0.0)
+            continue;
+        serves = true;
+        harmed = harmed || r.load > settings_.pace_down_above * objective;
+        calm = calm && r.load < settings_.pace_up_below * objective;
+    }
+    for (const listed_run& r : report.running) {
+        open_job* open = find_open(r.task.job);
+        if (open == nullptr || !open->state->contains(r.task.position))
+            continue;
+        task& it = open->state->at(r.task.position);
+        if (!open->state->step(r.task.position.step).backfill || !it.run || it.run->number != r.run ||
+            it.run->phase != run_phase::running)
+            continue;
+        int percent = it.run->pace_percent;
+        if (harmed)
+            percent = percent / 2 < settings_.lowest_pace ? 0 : percent / 2;
+        else if (!serves)
+            percent = full_pace;
+        else if (calm)
+            percent = std::min(full_pace, percent + settings_.pace_step);
+        if (percent == it.run->pace_percent)
+            continue;
+        it.run->pace_percent = percent;
+        commands_.emplace_back(pace_command{ref_of(t.info.id), r.task, r.run, percent});
+    }
+}
+
+void job_scheduler::note_stored_ends(target_status& t)
+{
+    while (!t.unstored.empty()) {
+        const unstored_end& first = t.unstored.front();
+        const job* j = find_job(first.job);
+        if (j != nullptr && j->stored < first.change)
+            return;
+        t.unstored.pop_front();
+    }
+    // The target repeats ends until it is told that they are stored.
+    if (t.ends_noted < t.ends_seen && !t.observing)
+        t.next_observation = {};
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/target_directory.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "jobs/target_orders.h"
+
+#include <functional>
+#include <vector>
+
+namespace mjm {
+
+/// Service discovery: the targets as they report themselves. Entries may come late and outlive their targets.
+class target_directory {
+public:
+    struct handler {
+        /// Replaces everything reported before.
+        std::function<void(const std::vector<target_info>&)> on_snapshot;
+        std::function<void(const target_info&)> on_target;
+        std::function<void(const target_id&)> on_removed;
+    };
+
+    target_directory() = default;
+    target_directory(const target_directory&) = delete;
+    target_directory& operator=(const target_directory&) = delete;
+    virtual ~target_directory() = default;
+
+    /// Follows the directory until `close`; a snapshot comes first.
+    virtual void open(handler h) = 0;
+    virtual void close() = 0;
+    virtual void tick() = 0;
+};
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/work_order.cpp
@@ -0,0 +1,44 @@
+#include "jobs/work_order.h"
+
+namespace mjm {
+
+namespace {
+
+// A result later than this multiple of the objective is of no use, according to the operators' rules.
+constexpr double useless_after = 3.0;
+
+std::int64_t to_ms(duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+} // namespace
+
+job_objective objective_of(const job& j, std::int64_t from_ms, double stretch, duration allowance)
+{
+    const double length =
+        stretch * static_cast<double>(to_ms(j.chain())) + static_cast<double>(to_ms(allowance));
+    return {from_ms + static_cast<std::int64_t>(length),
+            from_ms + static_cast<std::int64_t>(useless_after * length)};
+}
+
+work_rank rank_job(const job& j, int priority, const job_objective& objective, std::int64_t unix_ms)
+{
+    work_rank rank;
+    rank.priority = priority;
+    if (j.permanent()) {
+        rank.when = urgency::permanent;
+        rank.weight = static_cast<double>(j.record().accepted_ms);
+        return rank;
+    }
+    const std::int64_t earliest_end = unix_ms + to_ms(j.remaining_chain());
+    if (earliest_end <= objective.due_ms)
+        rank.when = urgency::in_time;
+    else
+        rank.when = earliest_end <= objective.late_ms ? urgency::late : urgency::useless;
+    const double all_tasks = static_cast<double>(j.open_tasks());
+    rank.weight = static_cast<double>(objective.due_ms - earliest_end) + all_tasks;
+    return rank;
+}
+
+} // namespace mjm
