Maintain hosts in waves and move idle hosts between pools

Cause: waves were not carried out (26 of 26 hosts left) and pools kept their size while demand turns from queue to queue. Change: host_manager with two decisions of their own: plan_moves (hosts follow demand) and the choice of hosts for a wave. A host goes down only when every step with a limit of unavailable tasks can lose those on it; orders on their way count.

--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 job_leader::job_leader(job_leader_settings settings, job_leader_services services, fencing_token token,
-                       std::shared_ptr<const fleet_config> config,
+                       std::shared_ptr<const fleet_config> config, std::function<bool()> certain,
                        std::function<void(const std::string&)> superseded)
     : settings_{settings}, services_{std::move(services)}, token_{token}, superseded_{std::move(superseded)},
       scheduler_{settings.scheduling, token, now(), [this](const scheduler_note& n) { log_note(n); }},
@@ -35,6 +35,11 @@
                                            {{"user", "journal"}, {"error", name_of(contact.error())}});
                 }}}
 {
+    if (services_.hosts != nullptr) {
+        hosts_ = std::make_unique<host_manager>(settings_.hosts, scheduler_, *services_.hosts, services_.time,
+                                                services_.log, token_, std::move(certain));
+        hosts_->set_config(config);
+    }
     scheduler_.set_config(std::move(config));
     next_forget_ = services_.time.now() + forget_interval;
     load_progress({});
@@ -160,10 +165,18 @@
 
 void job_leader::set_config(std::shared_ptr<const fleet_config> config)
 {
+    if (hosts_)
+        hosts_->set_config(config);
     scheduler_.set_config(std::move(config));
     pump();
 }
 
+void job_leader::set_waves(const std::map<std::string, maintenance_wave>& waves)
+{
+    if (hosts_)
+        hosts_->set_waves(waves);
+}
+
 void job_leader::tick()
 {
     if (stopped_)
@@ -187,6 +200,8 @@
     services_.directory.tick();
     if (loaded_) {
         scheduler_.tick(now());
+        if (hosts_ && has_targets_)
+            hosts_->tick();
         forget_old_jobs();
     }
     pump();
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "jobs/host_manager.h"
 #include "jobs/job_scheduler.h"
 #include "jobs/prefix_watch.h"
 #include "jobs/progress_journal.h"
@@ -19,6 +20,7 @@
 
 struct job_leader_settings {
     scheduler_settings scheduling;
+    host_manager_settings hosts;
     /// Jobs in a final state are forgotten after this long; callers may ask for their state until then.
     duration retention{std::chrono::seconds{180}};
     duration retry{std::chrono::milliseconds{150}}; ///< Pause after a failed read while taking over.
@@ -28,6 +30,7 @@
     transaction_store& store;
     target_orders& orders;
     target_directory& directory;
+    host_operations* hosts; ///< Null where hosts can't be moved or maintained.
     const clock& time;
     logger log;
 };
@@ -38,7 +41,7 @@
 class job_leader {
 public:
     job_leader(job_leader_settings settings, job_leader_services services, fencing_token token,
-               std::shared_ptr<const fleet_config> config,
+               std::shared_ptr<const fleet_config> config, std::function<bool()> certain,
                std::function<void(const std::string&)> superseded);
     ~job_leader();
     job_leader(const job_leader&) = delete;
@@ -46,6 +49,7 @@
 
     void tick();
     void set_config(std::shared_ptr<const fleet_config> config);
+    void set_waves(const std::map<std::string, maintenance_wave>& waves);
 
     /// Whether all stored jobs are known.
     [[nodiscard]] bool loaded() const { return loaded_; }
@@ -81,6 +85,7 @@
     const std::function<void(const std::string&)> superseded_;
     job_scheduler scheduler_;
     progress_journal journal_;
+    std::unique_ptr<host_manager> hosts_; ///< Null where hosts can't be moved or maintained.
     std::unique_ptr<prefix_watch> inbox_;
     std::map<job_id, std::string> stored_progress_; ///< Read while taking over, until the jobs are known.
     std::map<job_id, timestamp> finished_;
--- a/src/plugins/jobs/job_node.cpp
+++ b/src/plugins/jobs/job_node.cpp
@@ -47,14 +47,15 @@
     }
     if (start_leader_ && config_) {
         start_leader_ = false;
-        leader_ = std::make_unique<job_leader>(settings_.leader,
-                                               job_leader_services{services_.store, services_.orders,
-                                                                   services_.directory, services_.time,
-                                                                   services_.log},
-                                               election_.token(), config_, [this](const std::string& why) {
-                                                   step_down_reason_ = why;
-                                                   step_down_ = true;
-                                               });
+        leader_ = std::make_unique<job_leader>(
+            settings_.leader,
+            job_leader_services{services_.store, services_.orders, services_.directory, services_.hosts,
+                                services_.time, services_.log},
+            election_.token(), config_, [this] { return election_.certain(); },
+            [this](const std::string& why) {
+                step_down_reason_ = why;
+                step_down_ = true;
+            });
     }
     if (leader_)
         leader_->tick();
@@ -68,6 +69,13 @@
         leader_->set_config(config_);
 }
 
+void job_node::set_waves(const std::map<std::string, maintenance_wave>& waves)
+{
+    waves_ = waves;
+    if (leader_)
+        leader_->set_waves(waves_);
+}
+
 void job_node::resign()
 {
     election_.resign();
--- a/src/plugins/jobs/job_node.h
+++ b/src/plugins/jobs/job_node.h
@@ -21,6 +21,7 @@
     transaction_store& store;
     target_orders& orders;
     target_directory& directory;
+    host_operations* hosts; ///< Null where hosts can't be moved or maintained.
     leader_link& leader;
     const clock& time;
     random_source& random;
@@ -34,6 +35,7 @@
 
     void tick();
     void set_config(std::shared_ptr<const fleet_config> config);
+    void set_waves(const std::map<std::string, maintenance_wave>& waves);
     /// Gives up the leadership for good; callers are still answered.
     void resign();
 
@@ -49,6 +51,7 @@
     job_node_services services_;
     job_front front_;
     std::shared_ptr<const fleet_config> config_;
+    std::map<std::string, maintenance_wave> waves_;
     std::unique_ptr<job_leader> leader_;
     std::string step_down_reason_; ///< Set by the leader; it ends with the next tick.
     bool step_down_ = false;
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -167,6 +167,7 @@
     t.info.born = added ? info.born : known;
     t.listed = true;
     t.cordoned = cordons_.contains(info.host);
+    t.maintained_soon = maintained_soon_.contains(info.host);
     plan_needed_ = true;
 }
 
@@ -180,14 +181,6 @@
     note(scheduler_event::target_unlisted, {}, nullptr, 0, id, "discovery");
 }
 
-void job_scheduler::set_cordons(const std::set<std::string>& hosts)
-{
-    cordons_ = hosts;
-    for (auto& [id, t] : targets_)
-        t.cordoned = cordons_.contains(t.info.host);
-    plan_needed_ = true;
-}
-
 target_status* job_scheduler::find_target(const target_id& id)
 {
     const auto it = targets_.find(id);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -100,6 +100,12 @@
     std::int64_t age_ms = 0; ///< Of the job, or of the report that decided.
 };
 
+/// Resources that a service's open jobs ask for.
+struct pool_demand {
+    resources total;   ///< Of running and waiting tasks; of a step that waits for others, its full width.
+    resources waiting; ///< Of tasks that could run now.
+};
+
 /// The leader's decisions: which task runs where, and what its target's reports mean. It does no I/O: the
 /// caller stores progress before it lets starts out, sends commands, and passes answers in.
 class job_scheduler {
@@ -125,8 +131,21 @@
     void set_config(std::shared_ptr<const fleet_config> config);
     void set_target(const target_info& info, scheduler_time time);
     void unlist_target(const target_id& id, scheduler_time time);
-    /// Hosts that take no new work.
-    void set_cordons(const std::set<std::string>& hosts);
+    /// Hosts that take no new work, and hosts that will be maintained and so take no permanent tasks if
+    /// others have room.
+    void set_cordons(const std::set<std::string>& cordoned, const std::set<std::string>& maintained_soon);
+    /// Everything on the target has ended, because its host was moved or maintained.
+    void target_ended(const target_id& id, scheduler_time time);
+    [[nodiscard]] pool_demand demand_of(const service_id& service) const;
+    [[nodiscard]] bool only_permanent_runs(const target_id& id) const;
+    /// Whether every step with a limit of unavailable tasks can lose those on the target.
+    [[nodiscard]] bool can_lose(const target_id& id) const;
+    /// An order that ends everything on the target is on its way, or was refused after all.
+    void set_leaving(const target_id& id, bool leaving);
+    /// Moves a permanent task elsewhere when the target has more of a step than may be missing at a time.
+    void ease_target(const target_id& id, scheduler_time time);
+    /// Stops runs that can continue elsewhere from their checkpoint.
+    void stop_saving_runs(const target_id& id, scheduler_time time);
     [[nodiscard]] const std::map<target_id, target_status>& targets() const { return targets_; }
 
     // Planning and storing.
@@ -183,6 +202,10 @@
     void void_runs_of_target(target_status& t, const char* reason, scheduler_time time);
     void leave_draining_targets(scheduler_time time);
 
+    // scheduler_hosts.cpp
+    void add_demand(const open_job& open, pool_demand& demand) const;
+    [[nodiscard]] bool stays_at_work(const task& t) const;
+
     // scheduler_plan.cpp
     void plan_pool(const service_id& service, const std::vector<job_id>& jobs, scheduler_time time);
     void plan_job(open_job& open, const std::vector<target_status*>& pool, scheduler_time time);
@@ -214,6 +237,7 @@
     std::map<team_id, resources> team_use_;
     std::set<job_id> dirty_; ///< Jobs with changes that the store has to learn.
     std::set<std::string> cordons_;
+    std::set<std::string> maintained_soon_;
     std::vector<target_command> commands_;
     bool plan_needed_ = true;
     bool superseded_ = false;
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -8,6 +8,8 @@
 
 // Penalties order the targets: a worse kind always comes after a better one.
 constexpr double wrong_rack_penalty = 10.0;
+constexpr double concentrated_penalty = 30.0;
+constexpr double maintained_soon_penalty = 50.0;
 constexpr double avoided_penalty = 100.0;
 
 bool may_run(const target_status& t, const placement_request& request, timestamp now)
@@ -32,10 +34,18 @@
 {
     const step_spec& step = *request.step;
     const double fill = t.used.dominant_fraction(t.info.capacity);
-    double result = step.permanent || step.backfill ? fill : 1.0 - fill;
+    double result = step.backfill ? fill : 1.0 - fill;
     const std::string& rack = step.data_rack.empty() ? request.preferred_rack : step.data_rack;
     if (!rack.empty() && t.info.rack.str() != rack)
         result += wrong_rack_penalty;
+    // A host with more tasks of a step than may be missing at a time can't be maintained.
+    if (step.max_unavailable != 0 && request.step_runs != nullptr) {
+        const auto it = request.step_runs->find(t.info.id);
+        if (it != request.step_runs->end() && it->second >= step.max_unavailable)
+            result += concentrated_penalty;
+    }
+    if (step.permanent && t.maintained_soon)
+        result += maintained_soon_penalty;
     if (t.info.id.str() == request.avoided_target)
         result += avoided_penalty;
     return result;
--- a/src/plugins/jobs/placement.h
+++ b/src/plugins/jobs/placement.h
@@ -20,9 +20,9 @@
 /// Whether the target has room for one more task of the step, leaving other conditions aside.
 [[nodiscard]] bool has_room(const target_status& t, const step_spec& step);
 
-/// Chooses a target for one task; null when none is fit. Tasks that end soon fill up the fullest target that
-/// has room, so that others stay free for wide tasks and for maintenance; permanent tasks go to the
-/// emptiest one, so that a target's loss takes few of them.
+/// Chooses a target for one task; null when none is fit. The fullest target that has room is taken, so that
+/// others stay free for wide tasks, for maintenance, and for other pools; tasks that use what is left over go
+/// to the emptiest one.
 [[nodiscard]] target_status* choose_target(const placement_request& request,
                                            const std::vector<target_status*>& pool, timestamp now);
 
--- /dev/null
+++ b/src/plugins/jobs/pool_plan.cpp
@@ -0,0 +1,73 @@
+#include "jobs/pool_plan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mjm {
+
+namespace {
+
+std::size_t wanted_hosts(const pool_state& p, const pool_plan_settings& settings)
+{
+    const double wanted = std::ceil(p.needed * (1.0 + settings.headroom) + settings.spare_hosts);
+    const double kept = std::ceil(settings.kept_share * static_cast<double>(p.usual));
+    return std::max(
+        {static_cast<std::size_t>(wanted), static_cast<std::size_t>(kept), settings.fewest_hosts});
+}
+
+/// Takes the host that has been idle longest.
+spare_host take_longest_idle(pool_state& p)
+{
+    const auto it =
+        std::max_element(p.idle.begin(), p.idle.end(),
+                         [](const spare_host& a, const spare_host& b) { return a.idle_for < b.idle_for; });
+    spare_host out = *it;
+    p.idle.erase(it);
+    --p.hosts;
+    return out;
+}
+
+} // namespace
+
+std::vector<host_move> plan_moves(std::vector<pool_state> pools, const pool_plan_settings& settings)
+{
+    std::vector<host_move> moves;
+    // The pool with the most waiting work is served first.
+    std::sort(pools.begin(), pools.end(),
+              [](const pool_state& a, const pool_state& b) { return a.waiting > b.waiting; });
+    for (pool_state& to : pools) {
+        if (to.standby)
+            continue;
+        const std::size_t wanted = wanted_hosts(to, settings);
+        const auto take_from = [&](pool_state& from) {
+            const std::size_t kept = from.standby ? 0 : wanted_hosts(from, settings);
+            while (to.hosts < wanted && !from.idle.empty() && from.hosts > kept) {
+                moves.push_back({take_longest_idle(from).id, from.service, to.service});
+                ++to.hosts;
+            }
+        };
+        for (pool_state& from : pools) {
+            if (from.standby)
+                take_from(from);
+        }
+        for (pool_state& from : pools) {
+            if (!from.standby && from.service != to.service && from.waiting <= 0.0)
+                take_from(from);
+        }
+    }
+    const auto standby =
+        std::find_if(pools.begin(), pools.end(), [](const pool_state& p) { return p.standby; });
+    if (standby == pools.end())
+        return moves;
+    for (pool_state& from : pools) {
+        if (from.standby)
+            continue;
+        const std::size_t wanted = wanted_hosts(from, settings);
+        std::erase_if(from.idle, [&](const spare_host& h) { return h.idle_for < settings.idle_time; });
+        while (from.hosts > wanted && !from.idle.empty())
+            moves.push_back({take_longest_idle(from).id, from.service, standby->service});
+    }
+    return moves;
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/pool_plan.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "jobs/job_types.h"
+
+#include <string>
+#include <vector>
+
+namespace mjm {
+
+struct pool_plan_settings {
+    /// Room kept beyond the present need, as a share of it: tasks don't fill hosts without gaps.
+    double headroom = 0.2;
+    /// Hosts kept beyond the present need, since a new one takes seconds to join.
+    double spare_hosts = 1.5;
+    std::size_t fewest_hosts = 3;
+    /// Share of the pool's configured size that is kept even when nothing asks for it.
+    double kept_share = 0.5;
+    /// An idle host is switched off after this long, which is worth more than the cost of two moves.
+    duration idle_time{std::chrono::milliseconds{2500}};
+};
+
+/// A host that could go to another pool at this moment.
+struct spare_host {
+    std::string id;
+    duration idle_for{0};
+};
+
+/// What a pool has and needs.
+struct pool_state {
+    service_id service;
+    bool standby = false;  ///< Its hosts are switched off.
+    std::size_t hosts = 0; ///< That are there, or on their way.
+    std::size_t usual = 0; ///< Largest number seen, as configured by the operator.
+    double needed = 0.0;   ///< Hosts that the present work fills.
+    double waiting = 0.0;  ///< Part of `needed` that waits for room.
+    std::vector<spare_host> idle;
+};
+
+struct host_move {
+    std::string host;
+    service_id from;
+    service_id to;
+};
+
+/// Decides which hosts change their pool. Answers queues whose demand rises and falls by turns: hosts follow
+/// the demand, first switched-off ones, then idle ones of other pools, and go back to the switched-off pool
+/// when they have been idle for a while.
+[[nodiscard]] std::vector<host_move> plan_moves(std::vector<pool_state> pools,
+                                                const pool_plan_settings& settings);
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -0,0 +1,176 @@
+#include "jobs/job_scheduler.h"
+
+#include <algorithm>
+
+namespace mjm {
+
+namespace {
+
+resources times(const resources& r, std::int64_t n)
+{
+    return {r.milli_cpu * n, r.memory_mib * n, r.accelerators * n, r.slots * n};
+}
+
+} // namespace
+
+void job_scheduler::set_cordons(const std::set<std::string>& cordoned,
+                                const std::set<std::string>& maintained_soon)
+{
+    if (cordoned == cordons_ && maintained_soon == maintained_soon_)
+        return;
+    cordons_ = cordoned;
+    maintained_soon_ = maintained_soon;
+    for (auto& [id, t] : targets_) {
+        t.cordoned = cordons_.contains(t.info.host);
+        t.maintained_soon = maintained_soon_.contains(t.info.host);
+    }
+    plan_needed_ = true;
+}
+
+void job_scheduler::target_ended(const target_id& id, scheduler_time time)
+{
+    target_status* t = find_target(id);
+    if (t == nullptr)
+        return;
+    void_runs_of_target(*t, "host ordered down", time);
+    t->listed = false;
+    t->reachable = false;
+    t->synced = false;
+    t->lease_until = time.now;
+}
+
+void job_scheduler::add_demand(const open_job& open, pool_demand& demand) const
+{
+    job& j = *open.state;
+    const std::size_t steps = j.record().spec.steps.size();
+    std::vector<std::int64_t> running(steps, 0);
+    std::vector<std::int64_t> waiting(steps, 0);
+    std::vector<std::int64_t> blocked(steps, 0);
+    j.for_open_tasks([&](const task_position& p, const task& t) {
+        if (t.run)
+            ++running[p.step];
+        else if (j.step_ready(p.occurrence, p.step))
+            ++waiting[p.step];
+        else if (p.occurrence == 0)
+            ++blocked[p.step];
+    });
+    resources now;
+    resources later;
+    for (std::size_t s = 0; s < steps; ++s) {
+        resources need = j.step(static_cast<std::uint32_t>(s)).need;
+        if (j.step(static_cast<std::uint32_t>(s)).backfill)
+            need.milli_cpu = 0;
+        now += times(need, running[s] + waiting[s]);
+        demand.waiting += times(need, waiting[s]);
+        const resources width = times(need, blocked[s]);
+        if (width.milli_cpu > later.milli_cpu)
+            later = width;
+    }
+    demand.total += later.milli_cpu > now.milli_cpu ? later : now;
+}
+
+pool_demand job_scheduler::demand_of(const service_id& service) const
+{
+    pool_demand demand;
+    const auto open = open_by_service_.find(service);
+    if (open == open_by_service_.end())
+        return demand;
+    for (const job_id& id : open->second) {
+        const open_job& it = jobs_.at(id);
+        if (!it.state->cancelled())
+            add_demand(it, demand);
+    }
+    return demand;
+}
+
+bool job_scheduler::only_permanent_runs(const target_id& id) const
+{
+    const std::set<task_key>& runs = targets_.at(id).runs;
+    return std::all_of(runs.begin(), runs.end(), [this](const task_key& key) {
+        const auto it = jobs_.find(key.job);
+        return it == jobs_.end() || it->second.state->step(key.position.step).permanent;
+    });
+}
+
+bool job_scheduler::stays_at_work(const task& t) const
+{
+    if (!t.run || t.run->phase != run_phase::running || !t.run->at_work)
+        return false;
+    const auto target = targets_.find(t.run->target);
+    return target != targets_.end() && target->second.reachable && !target->second.leaving;
+}
+
+void job_scheduler::set_leaving(const target_id& id, bool leaving)
+{
+    if (target_status* t = find_target(id))
+        t->leaving = leaving;
+}
+
+void job_scheduler::ease_target(const target_id& id, scheduler_time time)
+{
+    target_status* t = find_target(id);
+    if (t == nullptr)
+        return;
+    std::map<std::pair<job_id, std::uint32_t>, std::vector<task_position>> here;
+    for (const task_key& key : t->runs) {
+        const auto it = jobs_.find(key.job);
+        if (it != jobs_.end() && it->second.state->step(key.position.step).max_unavailable != 0)
+            here[{key.job, key.position.step}].push_back(key.position);
+    }
+    for (const auto& [where, positions] : here) {
+        open_job& open = jobs_.at(where.first);
+        const std::uint32_t allowed = open.state->step(where.second).max_unavailable;
+        if (positions.size() <= allowed)
+            continue;
+        std::uint32_t away = 0;
+        open.state->for_open_tasks([&, step = where.second](const task_position& p, const task& it) {
+            if (p.step == step && !stays_at_work(it))
+                ++away;
+        });
+        const task& first = open.state->at(positions.front());
+        if (away < allowed && first.run && first.run->phase == run_phase::running)
+            stop_run(open, positions.front(), "host is to be maintained", time.now);
+    }
+}
+
+bool job_scheduler::can_lose(const target_id& id) const
+{
+    std::map<std::pair<job_id, std::uint32_t>, std::uint32_t> lost;
+    for (const task_key& key : targets_.at(id).runs) {
+        const auto it = jobs_.find(key.job);
+        if (it == jobs_.end() || it->second.state->cancelled() ||
+            it->second.state->step(key.position.step).max_unavailable == 0)
+            continue;
+        ++lost[{key.job, key.position.step}];
+    }
+    return std::all_of(lost.begin(), lost.end(), [this, &id](const auto& entry) {
+        const auto& [where, here] = entry;
+        job& j = *jobs_.at(where.first).state;
+        std::uint32_t away = 0;
+        j.for_open_tasks([&, step = where.second](const task_position& p, const task& t) {
+            const bool on_target = t.run && t.run->target == id;
+            if (p.step == step && !on_target && !stays_at_work(t))
+                ++away;
+        });
+        return away + here <= j.step(where.second).max_unavailable;
+    });
+}
+
+void job_scheduler::stop_saving_runs(const target_id& id, scheduler_time time)
+{
+    target_status* t = find_target(id);
+    if (t == nullptr)
+        return;
+    const std::set<task_key> runs = t->runs;
+    for (const task_key& key : runs) {
+        open_job* open = find_open(key.job);
+        if (open == nullptr)
+            continue;
+        const step_spec& step = open->state->step(key.position.step);
+        const task& it = open->state->at(key.position);
+        if (step.saves_progress && !step.permanent && it.run && it.run->phase == run_phase::running)
+            stop_run(*open, key.position, "host is to be maintained", time.now);
+    }
+}
+
+} // namespace mjm
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -19,11 +19,13 @@
 /// What the leader knows about a target.
 struct target_status {
     target_info info;
-    bool listed = true;    ///< Service discovery has an entry for it.
-    bool synced = false;   ///< It has answered this leader, so that it obeys no earlier one.
-    bool reachable = true; ///< Its latest answers arrived.
-    bool cordoned = false; ///< Takes no new work, because its host is about to be maintained or moved.
-    int misses = 0;        ///< Observations without an answer since the last one with an answer.
+    bool listed = true;           ///< Service discovery has an entry for it.
+    bool synced = false;          ///< It has answered this leader, so that it obeys no earlier one.
+    bool reachable = true;        ///< Its latest answers arrived.
+    bool cordoned = false;        ///< Takes no new work, because its host is about to be maintained or moved.
+    bool leaving = false;         ///< An order that ends everything on it may have been carried out.
+    bool maintained_soon = false; ///< Its host is to be maintained some time soon.
+    int misses = 0;               ///< Observations without an answer since the last one with an answer.
 
     resources used;          ///< Of runs that count against the capacity.
     std::set<task_key> runs; ///< Everything that may be running there.
