--- a/src/plugins/jobs/leadership.h
+++ b/src/plugins/jobs/leadership.h
@@ -17,7 +17,7 @@
     std::string key = "mjm/leader";
     std::string self; ///< Value of the key while this host leads: its address for other entry hosts.
     /// Time without a renewal after which another host may lead. It bounds how long a lost leader is missed.
-    duration ttl{std::chrono::milliseconds{2500}};
+    duration ttl{std::chrono::milliseconds{2000}};
     duration renew_interval{std::chrono::milliseconds{500}};
     /// The leader stops trusting its lease this long before the store can end it.
     duration margin{std::chrono::milliseconds{300}};
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -129,7 +129,8 @@
     request.token = token_;
     request.ends_noted = t.unstored.empty() ? t.ends_seen : t.unstored.front().sequence - 1;
     t.ends_noted = request.ends_noted;
-    if (t.clock_known && !t.runs.empty()) {
+    // A target that misses answers gets no longer lease, so that the time when its runs are over stays known.
+    if (t.clock_known && !t.runs.empty() && t.misses == 0 && t.reachable) {
         request.deadline_ms =
             t.clock_at_time(now) +
             std::chrono::duration_cast<std::chrono::milliseconds>(settings_.target_lease).count();
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -9,7 +9,7 @@
 struct scheduler_settings {
     /// Time for which a target keeps running without hearing from a leader. Longer than a change of leader
     /// takes, so that none cuts work; the platform's `hold-max-ms` is the upper limit.
-    duration target_lease{std::chrono::milliseconds{5000}};
+    duration target_lease{std::chrono::milliseconds{4300}};
     /// The longest lease that any leader may have given, for targets that have not answered yet.
     duration longest_lease{std::chrono::milliseconds{6000}};
     /// A target's clock may be slow by this share, according to the platform's protocol.
