--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -169,7 +169,7 @@
     for (const auto& [id, h] : hosts_) {
         const target_id target = target_of(id);
         const auto t = scheduler_.targets().find(target);
-        const bool idle = t != scheduler_.targets().end() && t->second.runs.empty() &&
+        const bool idle = t != scheduler_.targets().end() && t->second.settled() &&
                           t->second.info.state == target_state::ready && t->second.reachable &&
                           t->second.synced;
         if (idle)
--- a/src/plugins/jobs/host_waves.cpp
+++ b/src/plugins/jobs/host_waves.cpp
@@ -80,8 +80,11 @@
 {
     const target_id target = target_of(host);
     const auto t = scheduler_.targets().find(target);
-    if (t == scheduler_.targets().end() || t->second.runs.empty())
+    if (t == scheduler_.targets().end() || t->second.settled())
         return true;
+    // An end that only the target knows would be lost with it, and its task would run again.
+    if (!t->second.unstored.empty())
+        return false;
     if (work.kind == order_kind::move)
         return false;
     const timestamp now = time_.now();
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -46,6 +46,8 @@
     job_id last_failed_job;
     timestamp avoid_until;
 
+    /// Nothing runs there, and the store has every end that the target has listed.
+    [[nodiscard]] bool settled() const { return runs.empty() && unstored.empty(); }
     [[nodiscard]] resources free() const { return info.capacity - used; }
     /// The target's clock at `now`, not later than it really is by more than the answer took.
     [[nodiscard]] std::int64_t clock_at_time(timestamp now) const
