Reset the connection of a call that fails

Ruled out: an order sent without certain leadership; the lease was certain then. Change: the HTTP client resets the connection of a call that failed.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -200,7 +200,14 @@
             fail(sent_ ? http_errc::timed_out : http_errc::not_connected);
     }
 
-    void fail(http_errc ec) { complete(tl::unexpected{ec}, false); }
+    void fail(http_errc ec)
+    {
+        // Unsent bytes must not reach the server after the caller has been told that the call has failed; a
+        // reset discards them, while an orderly close would deliver them when the network recovers.
+        error_code ignored;
+        socket_.set_option(asio::socket_base::linger{true, 0}, ignored);
+        complete(tl::unexpected{ec}, false);
+    }
 
     /// Ends the call; the connection is closed unless it can be kept.
     void complete(tl::expected<http_response, http_errc> result, bool keep)
