--- a/src/libs/net/tests/tst_http_client.cpp
+++ b/src/libs/net/tests/tst_http_client.cpp
@@ -187,3 +187,37 @@
     }
     CHECK(server.open_connections() <= 30);
 }
+
+// An orderly close would deliver unsent bytes of the failed call after a partition has healed.
+TEST_CASE("guards against a failed call that is closed without a reset")
+{
+    client_fixture f;
+    auto reply = send_async(f.client, f.server.port(), get_request(), std::chrono::milliseconds{50});
+    tcp::socket socket = f.server.accept();
+    raw_server::read_head(socket);
+    CHECK(reply.get().error() == http_errc::timed_out);
+    char c = 0;
+    boost::system::error_code ec;
+    boost::asio::read(socket, buffer(&c, 1), ec);
+    CHECK(ec == boost::asio::error::connection_reset);
+}
+
+TEST_CASE("guards against calls beyond the limit of connections that are lost instead of waiting")
+{
+    io_runtime runtime;
+    runtime.start();
+    http_client_settings settings = patient();
+    settings.max_connections_per_endpoint = 1;
+    settings.wait_for_connection = true;
+    http_client client{runtime, settings};
+    raw_server server;
+    auto first = send_async(client, server.port(), get_request());
+    auto second = send_async(client, server.port(), get_request());
+    tcp::socket socket = server.accept();
+    raw_server::read_head(socket);
+    boost::asio::write(socket, buffer(ok));
+    CHECK(first.get());
+    raw_server::read_head(socket);
+    boost::asio::write(socket, buffer(ok));
+    CHECK(second.get());
+}
--- /dev/null
+++ b/src/plugins/jobs/tests/fakes/fake_transaction_store.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "jobs/transaction_store.h"
+#include "virtual_loop.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mjm {
+
+/// In-memory store of one fleet. Each host calls it through a `fake_store_link` of its own.
+class fake_transaction_store {
+public:
+    explicit fake_transaction_store(virtual_loop& loop) : loop_{loop} {}
+
+    struct record {
+        std::string value;
+        store_revision revision = 0;
+        store_lease_id lease = 0;
+    };
+
+    [[nodiscard]] tl::expected<store_revision, transaction_error> commit(const store_transaction& t);
+    /// A write by the test itself.
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+    [[nodiscard]] const record* find(const std::string& key);
+    [[nodiscard]] std::vector<kv_entry> list(const std::string& prefix);
+    [[nodiscard]] store_changes changes(const std::string& prefix, store_revision after) const;
+    [[nodiscard]] store_lease_id grant(duration ttl);
+    [[nodiscard]] bool renew(store_lease_id lease);
+    void end(store_lease_id lease);
+    /// Drops the history, so that watches have to read everything again.
+    void forget_history() { oldest_ = revision_; }
+    [[nodiscard]] store_revision oldest() const { return oldest_; }
+    [[nodiscard]] store_revision revision() const { return revision_; }
+    void expire();
+
+private:
+    struct lease {
+        duration ttl{0};
+        timestamp ends;
+    };
+    void remove_at(const std::string& key);
+
+    virtual_loop& loop_;
+    std::map<std::string, record> records_;
+    std::vector<store_change> history_;
+    std::map<store_lease_id, lease> leases_;
+    store_revision revision_ = 1;
+    store_revision oldest_ = 0;
+    store_lease_id last_lease_ = 0;
+};
+
+/// One host's connection to the store, with faults.
+class fake_store_link final : public transaction_store {
+public:
+    fake_store_link(virtual_loop& loop, fake_transaction_store& store) : loop_{loop}, store_{store} {}
+
+    bool reachable = true;        ///< Otherwise calls end without an answer and have no effect.
+    std::size_t lost_commits = 0; ///< So many next transactions take effect and are not answered.
+    std::size_t late_commits = 0; ///< So many next transactions take effect `late_by` later, unanswered.
+    duration late_by{std::chrono::seconds{3}};
+    std::size_t commits = 0;
+
+    void get(const std::string& key, get_callback done) override;
+    void list(const std::string& prefix, const std::string& after, page_callback done) override;
+    void watch(const std::string& prefix, store_revision after, duration wait, watch_callback done) override;
+    void commit(store_transaction transaction, commit_callback done) override;
+    void grant_lease(duration ttl, lease_callback done) override;
+    void renew_lease(store_lease_id lease, done_callback done) override;
+    void end_lease(store_lease_id lease, done_callback done) override;
+
+private:
+    template <typename Callback, typename Effect>
+    void answer(Callback done, Effect effect);
+    void poll(const std::string& prefix, store_revision after, timestamp until, const watch_callback& done);
+
+    virtual_loop& loop_;
+    fake_transaction_store& store_;
+};
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/tests/scheduler_fixture.cpp
@@ -0,0 +1,159 @@
+#include "scheduler_fixture.h"
+
+namespace mjm {
+
+namespace {
+
+std::shared_ptr<const fleet_config> make_config()
+{
+    std::shared_ptr<fleet_config> config = std::make_shared<fleet_config>();
+    queue_config q;
+    q.id = queue_id{"fit-curve"};
+    q.service = service_id{"fit"};
+    q.max_attempts = 2;
+    q.stretch = 1.6;
+    q.objective_allowance = std::chrono::milliseconds{600};
+    config->queues.push_back(q);
+    team_config team;
+    team.id = team_id{"lab"};
+    team.cap.milli_cpu = 100'000;
+    config->teams.emplace(team.id, team);
+    return config;
+}
+
+} // namespace
+
+scheduler_fixture::scheduler_fixture()
+    : scheduler{{}, token, {now_, unix_ms_}, [this](const scheduler_note& n) { notes.push_back(n); }}
+{
+    scheduler.set_config(make_config());
+}
+
+target_info scheduler_fixture::info_of(const std::string& name, const std::string& service) const
+{
+    target_info info;
+    info.id = target_id{name};
+    info.service = service_id{service};
+    info.endpoint = {"10.0.0.1", 80};
+    info.capacity = {32'000, 131'072, 0, 0};
+    info.born = 1;
+    info.host = "host-" + name;
+    return info;
+}
+
+target_id scheduler_fixture::add_target(const std::string& name, const std::string& service)
+{
+    scheduler.set_target(info_of(name, service), now());
+    report(target_id{name}, {});
+    return target_id{name};
+}
+
+job_record scheduler_fixture::record_of(const std::string& name, std::uint32_t tasks,
+                                        std::int64_t milli_cpu) const
+{
+    job_record record;
+    record.id = job_id{name};
+    record.queue = queue_id{"fit-curve"};
+    record.service = service_id{"fit"};
+    record.team = team_id{"lab"};
+    record.accepted_ms = unix_ms_;
+    step_spec step;
+    step.tasks = tasks;
+    step.need = {milli_cpu, 1024, 0, 0};
+    step.estimate = std::chrono::seconds{1};
+    record.spec.steps.push_back(step);
+    return record;
+}
+
+job_id scheduler_fixture::add_job(const std::string& name, std::uint32_t tasks, std::int64_t milli_cpu,
+                                  const std::function<void(step_spec&)>& change)
+{
+    job_record record = record_of(name, tasks, milli_cpu);
+    if (change)
+        change(record.spec.steps.front());
+    scheduler.add_job(std::move(record), now());
+    return job_id{name};
+}
+
+void scheduler_fixture::advance(duration d)
+{
+    now_ += d;
+    unix_ms_ += std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+    scheduler.tick(now());
+    sort_commands();
+}
+
+void scheduler_fixture::sort_commands()
+{
+    for (const target_command& c : scheduler.take_commands()) {
+        if (const start_command* start = std::get_if<start_command>(&c))
+            starts_.push_back(*start);
+        else if (const stop_command* stop = std::get_if<stop_command>(&c))
+            stops_.push_back(*stop);
+    }
+}
+
+std::vector<start_command> scheduler_fixture::plan_and_store()
+{
+    scheduler.plan(now());
+    scheduler.on_stored(scheduler.unstored(1000), now());
+    return take_starts();
+}
+
+std::vector<start_command> scheduler_fixture::take_starts()
+{
+    sort_commands();
+    return std::exchange(starts_, {});
+}
+
+std::vector<stop_command> scheduler_fixture::take_stops()
+{
+    sort_commands();
+    return std::exchange(stops_, {});
+}
+
+void scheduler_fixture::confirm(const start_command& start)
+{
+    scheduler.on_start_answer(start.target.id, start.order.task, start.order.run, order_answer{5000}, now());
+}
+
+void scheduler_fixture::report(const target_id& target, const std::vector<listed_run>& running_now,
+                               const std::vector<listed_end>& ended_now, target_birth born)
+{
+    const timestamp sent_at = now_;
+    static_cast<void>(scheduler.begin_observation(target, now_));
+    now_ += std::chrono::milliseconds{1};
+    target_report r;
+    r.clock_ms = 5000;
+    r.born = born;
+    r.running = running_now;
+    r.ended = ended_now;
+    scheduler.on_report(target, r, sent_at, now());
+}
+
+void scheduler_fixture::miss(const target_id& target)
+{
+    const timestamp sent_at = now_;
+    static_cast<void>(scheduler.begin_observation(target, now_));
+    scheduler.on_report(target, tl::unexpected{order_errc::no_answer}, sent_at, now());
+}
+
+listed_run running(const start_command& start)
+{
+    listed_run r;
+    r.task = start.order.task;
+    r.run = start.order.run;
+    return r;
+}
+
+listed_end ended(const start_command& start, std::uint64_t sequence, run_end how)
+{
+    listed_end e;
+    e.sequence = sequence;
+    e.task = start.order.task;
+    e.run = start.order.run;
+    e.how = how;
+    return e;
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/tests/tst_job_decisions.cpp
@@ -0,0 +1,179 @@
+#include "jobs/job_codec.h"
+#include "jobs/placement.h"
+#include "jobs/pool_plan.h"
+#include "jobs/work_order.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mjm;
+using namespace std::chrono_literals;
+
+namespace {
+
+job make_job(const std::string& name, duration estimate, std::uint32_t tasks, bool permanent = false)
+{
+    job_record record;
+    record.id = job_id{name};
+    step_spec step;
+    step.tasks = tasks;
+    step.need = {1000, 1024, 0, 0};
+    step.estimate = estimate;
+    step.permanent = permanent;
+    record.spec.steps.push_back(step);
+    return job{std::move(record)};
+}
+
+target_status make_target(const std::string& name, std::int64_t used_milli_cpu)
+{
+    target_status t;
+    t.info.id = target_id{name};
+    t.info.capacity = {32'000, 131'072, 0, 0};
+    t.synced = true;
+    t.used.milli_cpu = used_milli_cpu;
+    return t;
+}
+
+pool_state make_pool(const std::string& service, std::size_t hosts, double needed, std::size_t idle,
+                     duration idle_for = 10s)
+{
+    pool_state p;
+    p.service = service_id{service};
+    p.hosts = hosts;
+    p.usual = 8;
+    p.needed = needed;
+    for (std::size_t i = 0; i < idle; ++i)
+        p.idle.push_back({service + std::to_string(i), idle_for});
+    return p;
+}
+
+} // namespace
+
+TEST_CASE("work that can be in time goes before work that can't, and permanent tasks before both")
+{
+    const job serving = make_job("serving", 0s, 1, true);
+    const job quick = make_job("quick", 1s, 4);
+    const job_objective open = objective_of(quick, 0, 1.6, 600ms);
+    CHECK(open.due_ms == 2200);
+    CHECK(open.late_ms == 6600);
+    const work_rank first = rank_job(serving, 0, open, 0);
+    const work_rank in_time = rank_job(quick, 0, open, 1000);
+    const work_rank late = rank_job(quick, 0, open, 1500);
+    const work_rank useless = rank_job(quick, 0, open, 6000);
+    CHECK(first < in_time);
+    CHECK(in_time < late);
+    CHECK(late < useless);
+    CHECK(rank_job(quick, 0, open, 6000) < rank_job(quick, 1, open, 0));
+}
+
+TEST_CASE("the fullest target with room is chosen")
+{
+    target_status empty = make_target("empty", 0);
+    target_status half = make_target("half", 16'000);
+    target_status full = make_target("full", 31'500);
+    const std::vector<target_status*> pool{&empty, &half, &full};
+    step_spec step;
+    step.need = {1000, 1024, 0, 0};
+    const placement_request request{&step, nullptr, {}, {}};
+    CHECK(choose_target(request, pool, timestamp{}) == &half);
+    half.cordoned = true;
+    CHECK(choose_target(request, pool, timestamp{}) == &empty);
+    empty.info.state = target_state::draining;
+    CHECK(choose_target(request, pool, timestamp{}) == nullptr);
+}
+
+TEST_CASE("a failed task goes to another target if there is one")
+{
+    target_status a = make_target("a", 16'000);
+    target_status b = make_target("b", 0);
+    step_spec step;
+    step.need = {1000, 1024, 0, 0};
+    const placement_request request{&step, nullptr, "a", {}};
+    CHECK(choose_target(request, {&a, &b}, timestamp{}) == &b);
+    CHECK(choose_target(request, {&a}, timestamp{}) == &a);
+}
+
+// Plays a turn of demand: one pool asks for more than it holds while the others are quiet.
+TEST_CASE("hosts follow the demand, switched-off ones first, and are switched off again")
+{
+    pool_plan_settings settings;
+    pool_state asks = make_pool("fit", 8, 12.0, 0);
+    asks.waiting = 4.0;
+    pool_state quiet = make_pool("sort", 8, 0.5, 6);
+    pool_state off = make_pool("off", 2, 0.0, 2);
+    off.standby = true;
+    const std::vector<host_move> moves = plan_moves({quiet, asks, off}, settings);
+    std::size_t from_off = 0;
+    std::size_t from_quiet = 0;
+    for (const host_move& m : moves) {
+        CHECK(m.to == service_id{"fit"});
+        ++(m.from == service_id{"off"} ? from_off : from_quiet);
+    }
+    CHECK(from_off == 2);
+    CHECK(from_quiet >= 1);
+    CHECK(from_quiet <= 5);
+
+    const std::vector<host_move> back = plan_moves({quiet, off}, settings);
+    REQUIRE_FALSE(back.empty());
+    for (const host_move& m : back)
+        CHECK(m.to == service_id{"off"});
+    CHECK(plan_moves({make_pool("sort", 8, 0.5, 6, 100ms), off}, settings).empty());
+}
+
+TEST_CASE("jobs and their progress survive storing")
+{
+    job_record record;
+    record.id = job_id{"j"};
+    record.queue = queue_id{"q"};
+    record.service = service_id{"s"};
+    record.team = team_id{"t"};
+    record.accepted_ms = 42;
+    record.spec.payload = "text \"quoted\"";
+    record.spec.scheduled = true;
+    record.spec.occurrences = 3;
+    record.spec.interval_ms = 500;
+    step_spec step;
+    step.tasks = 2;
+    step.need = {1500, 512, 1, 0};
+    step.required_label = "k80";
+    step.max_unavailable = 1;
+    step.saves_progress = true;
+    record.spec.steps.push_back(step);
+    const std::optional<job_record> back = decode_job(record.id, encode_job(record));
+    REQUIRE(back);
+    CHECK(back->spec.payload == record.spec.payload);
+    CHECK(back->spec.occurrences == 3);
+    CHECK(back->spec.steps.at(0).need == step.need);
+    CHECK(back->spec.steps.at(0).required_label == "k80");
+
+    job j{record};
+    task& t = j.at({1, 0, 1});
+    t.last_run = 4;
+    t.failures = 1;
+    t.checkpoint = "abc";
+    t.run = task_run{};
+    t.run->number = 4;
+    t.run->target = target_id{"w"};
+    t.run->born = 17;
+    j.mark_started();
+    j.finish_task({0, 0, 0});
+    j.at({0, 0, 0}).last_run = 1;
+    job restored{record};
+    REQUIRE(restore_progress(restored, encode_progress(j)));
+    CHECK(restored.state() == job_state::running);
+    CHECK(restored.at({0, 0, 0}).done);
+    CHECK(restored.open_tasks() == 5);
+    REQUIRE(restored.at({1, 0, 1}).run);
+    CHECK(restored.at({1, 0, 1}).run->phase == run_phase::unconfirmed);
+    CHECK(restored.at({1, 0, 1}).checkpoint == "abc");
+    CHECK_FALSE(restore_progress(restored, "{\"state\":\"nonsense\"}"));
+    CHECK_FALSE(decode_job(record.id, "not json"));
+}
+
+TEST_CASE("names of tasks are parsed from their end")
+{
+    const task_key key{job_id{"a.b"}, {1, 2, 3}};
+    CHECK(to_string(key) == "a.b.1.2.3");
+    CHECK(parse_task_key("a.b.1.2.3") == key);
+    for (const char* text : {"", "a", "a.1.2", "a.1.x.3", ".1.2.3", "a.1..3"})
+        CHECK_FALSE(parse_task_key(text));
+}
--- /dev/null
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -0,0 +1,305 @@
+#include "scheduler_fixture.h"
+
+#include "jobs/job_codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mjm;
+using namespace std::chrono_literals;
+
+// Guards against a start that a next leader would not know of.
+TEST_CASE("a run starts only after the store has it")
+{
+    scheduler_fixture f;
+    f.add_target("a");
+    f.add_job("j", 2);
+    f.scheduler.plan(f.now());
+    CHECK(f.take_starts().empty());
+    const std::vector<progress_write> writes = f.scheduler.unstored(10);
+    REQUIRE(writes.size() == 1);
+    f.scheduler.on_stored(writes, f.now());
+    CHECK(f.take_starts().size() == 2);
+}
+
+// Guards against forgetting an end that no leader would find again.
+TEST_CASE("an end is noted at its target only after the store has it")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    f.confirm(starts[0]);
+    f.report(a, {}, {ended(starts[0], 1, run_end::done)});
+    CHECK(f.scheduler.begin_observation(a, f.now().now).ends_noted == 0);
+    CHECK_FALSE(f.scheduler.targets().at(a).settled());
+    f.scheduler.on_stored(f.scheduler.unstored(10), f.now());
+    CHECK(f.scheduler.begin_observation(a, f.now().now).ends_noted == 1);
+    CHECK(f.scheduler.targets().at(a).settled());
+    CHECK(f.scheduler.find_job(job_id{"j"})->state() == job_state::completed);
+}
+
+// Guards against tasks that are never started again: observations of a silent target must not extend the
+// lease that its runs have to outlive.
+TEST_CASE("the runs of a silent target are given up when its lease is over")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1, 2000, [](step_spec& s) { s.permanent = true; });
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    f.confirm(starts[0]);
+    f.report(a, {running(starts[0])});
+    const target_id b = f.add_target("b");
+    for (int i = 0; i < 40; ++i) {
+        f.miss(a);
+        f.advance(300ms);
+    }
+    const std::vector<start_command> again = f.plan_and_store();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].target.id == b);
+    CHECK(again[0].order.run == 2);
+}
+
+// Guards against two runs of a task at a time: within the lease, a silent target may still work.
+TEST_CASE("the runs of a silent target are kept during its lease")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    f.confirm(starts.at(0));
+    f.add_target("b");
+    for (int i = 0; i < 10; ++i) {
+        f.miss(a);
+        f.advance(300ms);
+    }
+    CHECK(f.plan_and_store().empty());
+}
+
+// Guards against a second run beside one that is carried out late.
+TEST_CASE("a start without an answer is stopped before the task runs again")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    f.scheduler.on_start_answer(a, starts[0].order.task, 1, tl::unexpected{order_errc::no_answer}, f.now());
+    f.advance(50ms);
+    f.report(a, {});
+    CHECK(f.plan_and_store().empty());
+    REQUIRE(f.take_stops().size() == 1);
+    f.scheduler.on_stop_answer(a, starts[0].order.task, 1, order_answer{5000}, f.now());
+    f.advance(50ms);
+    f.report(a, {});
+    const std::vector<start_command> again = f.plan_and_store();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].order.run == 2);
+}
+
+// Guards against loss of work that a lost answer did not prevent.
+TEST_CASE("a start without an answer that the target lists goes on")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    f.scheduler.on_start_answer(a, starts.at(0).order.task, 1, tl::unexpected{order_errc::no_answer},
+                                f.now());
+    f.advance(50ms);
+    f.report(a, {running(starts[0])});
+    CHECK(f.take_stops().empty());
+    CHECK(f.scheduler.find_job(job_id{"j"})->started());
+}
+
+TEST_CASE("a task that has used up its attempts fails its job and stops the others")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_target("b");
+    f.add_job("j", 2);
+    std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 2);
+    f.confirm(starts[0]);
+    f.confirm(starts[1]);
+    f.report(a, {running(starts[1])}, {ended(starts[0], 1, run_end::failed)});
+    CHECK(f.scheduler.find_job(job_id{"j"})->state() == job_state::pending);
+    f.advance(100ms);
+    starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].target.id == target_id{"b"});
+    f.confirm(starts[0]);
+    f.report(target_id{"b"}, {}, {ended(starts[0], 1, run_end::failed)});
+    CHECK(f.scheduler.find_job(job_id{"j"})->state() == job_state::failed);
+    CHECK(f.take_stops().size() == 1);
+}
+
+TEST_CASE("a cancelled job stops its runs and starts none")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 30, 4000);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 8);
+    for (const start_command& s : starts)
+        f.confirm(s);
+    f.scheduler.cancel_job(job_id{"j"}, f.now());
+    CHECK(f.take_stops().size() == 8);
+    std::vector<listed_end> ends;
+    for (std::size_t i = 0; i < starts.size(); ++i)
+        ends.push_back(ended(starts[i], i + 1, run_end::stopped));
+    f.report(a, {}, ends);
+    CHECK(f.plan_and_store().empty());
+    CHECK(f.scheduler.find_job(job_id{"j"})->state() == job_state::cancelled);
+}
+
+TEST_CASE("a team runs no more than its cap")
+{
+    scheduler_fixture f;
+    for (const char* name : {"a", "b", "c", "d", "e"})
+        f.add_target(name);
+    f.add_job("j", 80, 2000);
+    CHECK(f.plan_and_store().size() == 50);
+}
+
+TEST_CASE("a target is not filled beyond its capacity, nor with more of a step than allowed")
+{
+    scheduler_fixture f;
+    f.add_target("a");
+    f.add_job("wide", 20, 5000);
+    CHECK(f.plan_and_store().size() == 6);
+    scheduler_fixture g;
+    g.add_target("a");
+    g.add_target("b");
+    g.add_job("apart", 6, 1000, [](step_spec& s) { s.max_per_target = 1; });
+    CHECK(g.plan_and_store().size() == 2);
+}
+
+TEST_CASE("steps wait for the steps before them, across a change of leader")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    job_record record = f.record_of("j", 1);
+    record.spec.steps.push_back(record.spec.steps.front());
+    record.spec.steps.back().after = {0};
+    f.scheduler.add_job(record, f.now());
+    const std::vector<start_command> first = f.plan_and_store();
+    REQUIRE(first.size() == 1);
+    f.confirm(first[0]);
+    f.report(a, {}, {ended(first[0], 1, run_end::done)});
+    const std::vector<start_command> second = f.plan_and_store();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].order.task.position.step == 1);
+
+    const std::string text = encode_progress(*f.scheduler.find_job(job_id{"j"}));
+    scheduler_fixture g;
+    REQUIRE(g.scheduler.restore_job(record, text, g.now()));
+    g.add_target("a");
+    // The target has answered this leader and does not have the run, so that it never arrived.
+    g.advance(20ms);
+    const std::vector<start_command> again = g.plan_and_store();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].order.task == second[0].order.task);
+    CHECK(again[0].order.run == 2);
+}
+
+TEST_CASE("a restored run whose target does not answer waits for the end of the longest lease")
+{
+    scheduler_fixture f;
+    f.add_target("a");
+    f.add_job("j", 1);
+    static_cast<void>(f.plan_and_store());
+    const std::string text = encode_progress(*f.scheduler.find_job(job_id{"j"}));
+
+    scheduler_fixture g;
+    REQUIRE(g.scheduler.restore_job(g.record_of("j", 1), text, g.now()));
+    g.scheduler.set_target(g.info_of("a"), g.now());
+    g.add_target("b");
+    g.miss(target_id{"a"});
+    g.miss(target_id{"a"});
+    g.advance(5900ms);
+    CHECK(g.plan_and_store().empty());
+    g.advance(700ms);
+    CHECK(g.plan_and_store().size() == 1);
+}
+
+TEST_CASE("a target that started again has lost its runs")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    f.confirm(starts.at(0));
+    f.advance(20ms);
+    f.report(a, {}, {}, 2);
+    CHECK(f.plan_and_store().size() == 1);
+}
+
+TEST_CASE("a run that no task expects is stopped")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    listed_run stray;
+    stray.task = {job_id{"gone"}, {0, 0, 0}};
+    stray.run = 3;
+    f.report(a, {stray});
+    const std::vector<stop_command> stops = f.take_stops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].run == 3);
+}
+
+TEST_CASE("a fenced order ends the leader's term")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    CHECK_FALSE(f.scheduler.superseded());
+    f.scheduler.on_start_answer(a, starts.at(0).order.task, 1, tl::unexpected{order_errc::fenced}, f.now());
+    CHECK(f.scheduler.superseded());
+}
+
+// Guards against two hosts that go down in one decision and take two tasks of a step that may miss one.
+TEST_CASE("hosts that are about to go down count against a step's limit of unavailable tasks")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    const target_id b = f.add_target("b");
+    f.add_job("serving", 2, 2000, [](step_spec& s) {
+        s.permanent = true;
+        s.max_unavailable = 1;
+        s.max_per_target = 1;
+    });
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 2);
+    for (const start_command& s : starts) {
+        f.confirm(s);
+        f.advance(5ms);
+        f.report(s.target.id, {running(s)});
+    }
+    CHECK(f.scheduler.can_lose(a));
+    CHECK(f.scheduler.can_lose(b));
+    f.scheduler.set_leaving(a, true);
+    CHECK_FALSE(f.scheduler.can_lose(b));
+    f.scheduler.set_leaving(a, false);
+    CHECK(f.scheduler.can_lose(b));
+    f.scheduler.target_ended(a, f.now());
+    CHECK_FALSE(f.scheduler.can_lose(b));
+}
+
+TEST_CASE("permanent tasks leave a draining target")
+{
+    scheduler_fixture f;
+    f.add_target("a");
+    f.add_job("serving", 1, 2000, [](step_spec& s) { s.permanent = true; });
+    const std::vector<start_command> starts = f.plan_and_store();
+    f.confirm(starts.at(0));
+    target_info info = f.info_of("a");
+    info.state = target_state::draining;
+    f.scheduler.set_target(info, f.now());
+    f.advance(20ms);
+    CHECK(f.take_stops().size() == 1);
+    f.add_job("batch", 1);
+    CHECK(f.plan_and_store().empty());
+}
