Do less work for each event, and elect hosts with more processor time first

Change: plans only for services with a change, no scan of finished jobs, one index of hosts; candidates wait the longer the less processor time they have. Conclusion: a fleet with only weak hosts is still open.

--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -38,6 +38,7 @@
     next_plan_ = now + settings_.plan_interval;
     if (now - began_ < settings_.handover)
         return;
+    index_targets();
     choose_maintenance();
     choose_moves();
     update_cordons();
@@ -100,12 +101,20 @@
     });
 }
 
-target_id host_manager::target_of(const std::string& host) const
+void host_manager::index_targets()
 {
+    target_by_host_.clear();
     for (const auto& [id, t] : scheduler_.targets()) {
-        if (t.info.host == host && t.listed)
-            return id;
+        if (t.listed && !t.info.host.empty())
+            target_by_host_[t.info.host] = id;
     }
+}
+
+target_id host_manager::target_of(const std::string& host) const
+{
+    const auto listed = target_by_host_.find(host);
+    if (listed != target_by_host_.end())
+        return listed->second;
     const auto it = hosts_.find(host);
     return it == hosts_.end() ? target_id{} : it->second.target;
 }
--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -83,6 +83,7 @@
     void on_order_answer(const std::string& host, const tl::expected<void, host_errc>& answer);
     void finish_arrivals(timestamp asked_at);
     void update_cordons();
+    void index_targets();
     [[nodiscard]] target_id target_of(const std::string& host) const;
     [[nodiscard]] std::vector<pool_state> pool_states() const;
     [[nodiscard]] double hosts_for(const resources& need, const service_id& service) const;
@@ -104,6 +105,7 @@
     const timestamp began_;
     std::shared_ptr<const fleet_config> config_;
     std::map<std::string, host_info> hosts_;
+    std::map<std::string, target_id> target_by_host_; ///< Present lives, by discovery.
     std::map<std::string, timestamp> last_listed_;
     std::map<std::string, timestamp> idle_since_;
     std::map<std::string, host_work> work_;
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -133,12 +133,18 @@
     const std::optional<job_id> id = job_keys::job_of(job_keys::accepted, entry.key);
     if (!id || scheduler_.find_job(*id) != nullptr)
         return;
+    const auto progress = stored_progress_.find(*id);
+    const std::optional<job_state> state =
+        progress == stored_progress_.end() ? std::nullopt : decode_progress_state(progress->second);
+    if (state && is_final(*state)) {
+        scheduler_.restore_finished(*id, *state);
+        return;
+    }
     std::optional<job_record> record = decode_job(*id, entry.value);
     if (!record) {
         services_.log.error("job_unreadable", {{"job", *id}, {"revision", entry.revision}});
         return;
     }
-    const auto progress = stored_progress_.find(*id);
     if (progress == stored_progress_.end())
         scheduler_.add_job(std::move(*record), now());
     else if (!scheduler_.restore_job(std::move(*record), progress->second, now()))
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -50,7 +50,7 @@
         if (t.run)
             take_room(open, p, *t.run);
     });
-    plan_needed_ = true;
+    plan_needed_.insert(open.service);
 }
 
 void job_scheduler::add_job(job_record record, scheduler_time time)
@@ -76,6 +76,17 @@
     return readable;
 }
 
+void job_scheduler::restore_finished(const job_id& id, job_state state)
+{
+    if (jobs_.contains(id))
+        return;
+    job_record record;
+    record.id = id;
+    open_job& open = jobs_[id];
+    open.state = std::make_unique<job>(std::move(record));
+    open.state->restore_final(state);
+}
+
 void job_scheduler::cancel_job(const job_id& id, scheduler_time time)
 {
     open_job* open = find_open(id);
@@ -94,6 +105,7 @@
     if (open == nullptr)
         return;
     open_by_service_[open->service].erase(id);
+    with_runs_.erase(id);
     dirty_.erase(id);
     jobs_.erase(id);
 }
@@ -108,7 +120,7 @@
 {
     std::vector<job_id> out;
     for (const auto& [id, open] : jobs_) {
-        if (is_final(open.state->state()) && !dirty_.contains(id) && open.state->active_runs() == 0)
+        if (is_final(open.state->state()) && !dirty_.contains(id) && !with_runs_.contains(id))
             out.push_back(id);
     }
     return out;
@@ -116,10 +128,14 @@
 
 std::size_t job_scheduler::waiting_jobs(const queue_id& queue) const
 {
-    return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
-        const job& j = *entry.second.state;
-        return j.record().queue == queue && !j.started() && !j.cancelled() && !is_final(j.state());
-    }));
+    std::size_t n = 0;
+    for (const auto& [service, open] : open_by_service_) {
+        n += static_cast<std::size_t>(std::count_if(open.begin(), open.end(), [&](const job_id& id) {
+            const job& j = *jobs_.at(id).state;
+            return j.record().queue == queue && !j.started() && !j.cancelled();
+        }));
+    }
+    return n;
 }
 
 void job_scheduler::set_config(std::shared_ptr<const fleet_config> config)
@@ -127,7 +143,7 @@
     config_ = std::move(config);
     for (auto& [id, open] : jobs_)
         resolve_service(open);
-    plan_needed_ = true;
+    plan_all_services();
 }
 
 void job_scheduler::set_target(const target_info& info, scheduler_time time)
@@ -168,7 +184,7 @@
     t.listed = true;
     t.cordoned = cordons_.contains(info.host);
     t.maintained_soon = maintained_soon_.contains(info.host);
-    plan_needed_ = true;
+    plan_needed_.insert(info.service);
 }
 
 void job_scheduler::unlist_target(const target_id& id, scheduler_time time)
@@ -204,6 +220,8 @@
     const step_spec& step = open.state->step(p.step);
     resources need = step.need;
     team_use_[open.state->record().team] += need;
+    with_runs_.insert(open.state->id());
+    ++open.active_runs;
     ++open.step_runs[p.step][run.target];
     if (step.backfill)
         need.milli_cpu = 0;
@@ -218,6 +236,8 @@
     const step_spec& step = open.state->step(p.step);
     resources need = step.need;
     team_use_[open.state->record().team] -= need;
+    if (--open.active_runs == 0)
+        with_runs_.erase(open.state->id());
     std::map<target_id, std::uint32_t>& by_target = open.step_runs[p.step];
     const auto it = by_target.find(run.target);
     if (it != by_target.end() && --it->second == 0)
@@ -227,7 +247,9 @@
     target_status* t = find_target(run.target);
     if (t != nullptr && t->runs.erase({open.state->id(), p}) > 0)
         t->used -= need;
-    plan_needed_ = true;
+    if (t != nullptr)
+        plan_needed_.insert(t->info.service);
+    plan_needed_.insert(open.service);
 }
 
 void job_scheduler::void_run(open_job& open, const task_position& p, const char* reason, scheduler_time time)
@@ -374,10 +396,10 @@
         return !t.listed && t.runs.empty() && !t.observing && time.now > t.lease_until;
     });
     leave_draining_targets(time);
-    for (auto& [id, open] : jobs_) {
-        if (is_final(open.state->state()) && open.state->active_runs() == 0)
-            continue;
-        open.state->for_open_tasks([&, job_key = id](const task_position& p, task& t) {
+    const std::set<job_id> with_runs = with_runs_;
+    for (const job_id& id : with_runs) {
+        open_job& open = jobs_.at(id);
+        open.state->for_open_tasks([&](const task_position& p, task& t) {
             if (!t.run || t.run->order_out)
                 return;
             // Runs restored from the store whose target is in no listing.
@@ -387,10 +409,22 @@
                 return;
             }
             if (t.run->phase == run_phase::stopping && time.now - t.run->ordered_at > settings_.stop_retry)
-                send_stop({job_key, p}, *t.run, time.now);
+                send_stop({id, p}, *t.run, time.now);
         });
     }
-    plan_needed_ = true;
+    // Waits of failed tasks, pauses of targets and due times end without an event.
+    if (time.now >= next_full_plan_) {
+        next_full_plan_ = time.now + settings_.full_plan_interval;
+        plan_all_services();
+    }
+}
+
+void job_scheduler::plan_all_services()
+{
+    for (const auto& [service, open] : open_by_service_) {
+        if (!open.empty())
+            plan_needed_.insert(service);
+    }
 }
 
 } // namespace mjm
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -119,6 +119,8 @@
     void add_job(job_record record, scheduler_time time);
     /// Adds a job with its stored progress; false when the progress cannot be read.
     [[nodiscard]] bool restore_job(job_record record, std::string_view progress, scheduler_time time);
+    /// Adds a job that has ended, of which only the state is still needed.
+    void restore_finished(const job_id& id, job_state state);
     void cancel_job(const job_id& id, scheduler_time time);
     void forget_job(const job_id& id);
     [[nodiscard]] const job* find_job(const job_id& id) const;
@@ -181,9 +183,12 @@
     struct open_job {
         std::unique_ptr<job> state;
         service_id service;
+        std::size_t active_runs = 0;
         std::vector<std::map<target_id, std::uint32_t>> step_runs; ///< By step: runs on each target.
     };
 
+    struct ranked_job;
+
     // job_scheduler.cpp
     void note(scheduler_event event, const job_id& id, const task_key* task, run_number run,
               const target_id& target, std::string reason, std::int64_t age_ms = 0);
@@ -207,8 +212,10 @@
     [[nodiscard]] bool stays_at_work(const task& t) const;
 
     // scheduler_plan.cpp
-    void plan_pool(const service_id& service, const std::vector<job_id>& jobs, scheduler_time time);
-    void plan_job(open_job& open, const std::vector<target_status*>& pool, scheduler_time time);
+    void plan_pool(const service_id& service, const std::set<job_id>& jobs, scheduler_time time);
+    void plan_job(open_job& open, const std::vector<target_status*>& pool, const resources& most_free,
+                  scheduler_time time);
+    void plan_all_services();
     void plan_task(open_job& open, const task_position& p, target_status& t, scheduler_time time);
     [[nodiscard]] bool within_cap(const open_job& open, const step_spec& step) const;
     void order_start(open_job& open, const task_position& p, scheduler_time time);
@@ -235,11 +242,13 @@
     std::map<service_id, std::set<job_id>> open_by_service_; ///< Jobs that are not in a final state.
     std::map<target_id, target_status> targets_;
     std::map<team_id, resources> team_use_;
-    std::set<job_id> dirty_; ///< Jobs with changes that the store has to learn.
+    std::set<job_id> with_runs_; ///< Jobs of which something may be running.
+    std::set<job_id> dirty_;     ///< Jobs with changes that the store has to learn.
     std::set<std::string> cordons_;
     std::set<std::string> maintained_soon_;
     std::vector<target_command> commands_;
-    bool plan_needed_ = true;
+    std::set<service_id> plan_needed_; ///< Services whose jobs, targets or room have changed.
+    timestamp next_full_plan_;
     bool superseded_ = false;
 };
 
--- a/src/plugins/jobs/leadership.cpp
+++ b/src/plugins/jobs/leadership.cpp
@@ -107,10 +107,11 @@
         }
         leader_.clear();
         if (!vacant_) {
+            on_event_(leadership_event::leader_missing, {});
             vacant_ = true;
-            not_before_ =
-                time_.now() + duration{static_cast<std::int64_t>(random_.below(
-                                  static_cast<std::uint64_t>(settings_.longest_jitter.count()) + 1))};
+            not_before_ = time_.now() + settings_.handicap +
+                          duration{static_cast<std::int64_t>(random_.below(
+                              static_cast<std::uint64_t>(settings_.longest_jitter.count()) + 1))};
         }
     }
 
@@ -137,6 +138,7 @@
             if (self->ended_)
                 return;
             if (!lease) {
+                self->on_event_(leadership_event::not_elected, std::string{name_of(lease.error())});
                 self->pause();
                 return;
             }
@@ -156,6 +158,7 @@
             if (result) {
                 self->gain(lease, *result, asked_at);
             } else {
+                self->on_event_(leadership_event::not_elected, std::string{name_of(result.error().code)});
                 // A write without an answer may have taken effect; then the key stands until its lease ends.
                 self->store_.end_lease(lease, [](const tl::expected<void, store_errc>&) {});
                 if (result.error().code == store_errc::conflict)
--- a/src/plugins/jobs/leadership.h
+++ b/src/plugins/jobs/leadership.h
@@ -23,17 +23,29 @@
     duration margin{std::chrono::milliseconds{300}};
     /// Candidates wait up to this long, so that seldom two of them try at a time.
     duration longest_jitter{std::chrono::milliseconds{60}};
+    /// Added to the wait, so that hosts with more processor time are elected first.
+    duration handicap{0};
     duration retry{std::chrono::milliseconds{200}};
 };
 
-enum class leadership_event { gained, lost, leader_changed, lease_doubtful, lease_confirmed };
+enum class leadership_event {
+    gained,
+    lost,
+    leader_changed,
+    leader_missing, ///< No host leads; this one may become a candidate.
+    not_elected,    ///< An attempt to lead has failed.
+    lease_doubtful,
+    lease_confirmed,
+};
 
 template <>
 struct enum_names<leadership_event> {
-    static constexpr std::array<std::pair<leadership_event, std::string_view>, 5> entries{{
+    static constexpr std::array<std::pair<leadership_event, std::string_view>, 7> entries{{
         {leadership_event::gained, "leadership_gained"},
         {leadership_event::lost, "leadership_lost"},
         {leadership_event::leader_changed, "leader_changed"},
+        {leadership_event::leader_missing, "leader_missing"},
+        {leadership_event::not_elected, "not_elected"},
         {leadership_event::lease_doubtful, "lease_doubtful"},
         {leadership_event::lease_confirmed, "lease_confirmed"},
     }};
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -14,9 +14,7 @@
 
 bool may_run(const target_status& t, const placement_request& request, timestamp now)
 {
-    if (!t.listed || !t.synced || !t.reachable || t.cordoned || t.info.state != target_state::ready)
-        return false;
-    if (now < t.avoid_until)
+    if (!accepts_work(t, now))
         return false;
     const step_spec& step = *request.step;
     if (!step.required_label.empty() &&
@@ -53,6 +51,12 @@
 
 } // namespace
 
+bool accepts_work(const target_status& t, timestamp now)
+{
+    return t.listed && t.synced && t.reachable && !t.cordoned && t.info.state == target_state::ready &&
+           now >= t.avoid_until;
+}
+
 bool has_room(const target_status& t, const step_spec& step)
 {
     const resources left = t.free();
--- a/src/plugins/jobs/placement.h
+++ b/src/plugins/jobs/placement.h
@@ -17,6 +17,9 @@
     std::string preferred_rack; ///< Where the step's other tasks run; empty for none.
 };
 
+/// Whether the target may be given work at all at `now`.
+[[nodiscard]] bool accepts_work(const target_status& t, timestamp now);
+
 /// Whether the target has room for one more task of the step, leaving other conditions aside.
 [[nodiscard]] bool has_room(const target_status& t, const step_spec& step);
 
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -24,7 +24,7 @@
         t.cordoned = cordons_.contains(t.info.host);
         t.maintained_soon = maintained_soon_.contains(t.info.host);
     }
-    plan_needed_ = true;
+    plan_all_services();
 }
 
 void job_scheduler::target_ended(const target_id& id, scheduler_time time)
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -6,11 +6,6 @@
 
 namespace {
 
-struct ranked_job {
-    work_rank rank;
-    job_id id;
-};
-
 std::int64_t limit_or_any(std::int64_t cap)
 {
     return cap > 0 ? cap : std::numeric_limits<std::int64_t>::max();
@@ -18,50 +13,57 @@
 
 } // namespace
 
+struct job_scheduler::ranked_job {
+    work_rank rank;
+    open_job* open = nullptr;
+};
+
 void job_scheduler::plan(scheduler_time time)
 {
-    if (!plan_needed_)
-        return;
-    plan_needed_ = false;
-    for (auto& [service, open] : open_by_service_) {
-        if (open.empty())
-            continue;
-        std::vector<ranked_job> ranked;
-        for (const job_id& id : open) {
-            const job& j = *jobs_.at(id).state;
-            if (j.cancelled() || is_final(j.state()))
-                continue;
-            const queue_config* queue = queue_of(j);
-            const job_objective objective =
-                objective_of(j, j.record().accepted_ms, queue == nullptr ? 1.0 : queue->stretch,
-                             queue == nullptr ? duration{0} : queue->objective_allowance);
-            ranked.push_back(
-                {rank_job(j, queue == nullptr ? 0 : queue->priority, objective, time.unix_ms), id});
-        }
-        std::sort(ranked.begin(), ranked.end(),
-                  [](const ranked_job& a, const ranked_job& b) { return a.rank < b.rank; });
-        std::vector<job_id> ids;
-        ids.reserve(ranked.size());
-        for (const ranked_job& it : ranked)
-            ids.push_back(it.id);
-        plan_pool(service, ids, time);
+    const std::set<service_id> services = std::exchange(plan_needed_, {});
+    for (const service_id& service : services) {
+        const auto open = open_by_service_.find(service);
+        if (open != open_by_service_.end() && !open->second.empty())
+            plan_pool(service, open->second, time);
     }
 }
 
-void job_scheduler::plan_pool(const service_id& service, const std::vector<job_id>& jobs, scheduler_time time)
+void job_scheduler::plan_pool(const service_id& service, const std::set<job_id>& jobs, scheduler_time time)
 {
     std::vector<target_status*> pool;
+    resources most_free;
     for (auto& [id, t] : targets_) {
-        if (t.info.service == service)
-            pool.push_back(&t);
+        if (t.info.service != service || !accepts_work(t, time.now))
+            continue;
+        pool.push_back(&t);
+        const resources left = t.free();
+        most_free.milli_cpu = std::max(most_free.milli_cpu, left.milli_cpu);
+        most_free.memory_mib = std::max(most_free.memory_mib, left.memory_mib);
+        most_free.accelerators = std::max(most_free.accelerators, left.accelerators);
     }
     if (pool.empty())
         return;
-    for (const job_id& id : jobs)
-        plan_job(jobs_.at(id), pool, time);
+    std::vector<ranked_job> ranked;
+    for (const job_id& id : jobs) {
+        open_job& open = jobs_.at(id);
+        const job& j = *open.state;
+        if (j.cancelled() || is_final(j.state()) || j.open_tasks() == open.active_runs)
+            continue;
+        const queue_config* queue = queue_of(j);
+        const job_objective objective =
+            objective_of(j, j.record().accepted_ms, queue == nullptr ? 1.0 : queue->stretch,
+                         queue == nullptr ? duration{0} : queue->objective_allowance);
+        ranked.push_back(
+            {rank_job(j, queue == nullptr ? 0 : queue->priority, objective, time.unix_ms), &open});
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const ranked_job& a, const ranked_job& b) { return a.rank < b.rank; });
+    for (const ranked_job& it : ranked)
+        plan_job(*it.open, pool, most_free, time);
 }
 
-void job_scheduler::plan_job(open_job& open, const std::vector<target_status*>& pool, scheduler_time time)
+void job_scheduler::plan_job(open_job& open, const std::vector<target_status*>& pool,
+                             const resources& most_free, scheduler_time time)
 {
     job& j = *open.state;
     for (std::uint32_t k = 0; k < j.record().spec.occurrences; ++k) {
@@ -71,6 +73,10 @@
             if (!j.step_ready(k, s))
                 continue;
             const step_spec& step = j.step(s);
+            // Room only shrinks while a plan is made, so that this spares the search for most steps.
+            if ((!step.backfill && step.need.milli_cpu > most_free.milli_cpu) ||
+                step.need.memory_mib > most_free.memory_mib)
+                continue;
             for (std::uint32_t n = 0; n < step.tasks; ++n) {
                 const task_position p{k, s, n};
                 const task& t = j.at(p);
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -152,6 +152,7 @@
         on_no_report(*t, report.error(), time);
         return;
     }
+    const bool newly_usable = !t->reachable || !t->synced;
     t->misses = 0;
     if (!t->reachable) {
         t->reachable = true;
@@ -187,7 +188,8 @@
     note_stored_ends(*t);
     t->next_observation =
         time.now + (t->unstored.empty() ? settings_.observation_gap : settings_.store_grace);
-    plan_needed_ = true;
+    if (newly_usable)
+        plan_needed_.insert(t->info.service);
 }
 
 void job_scheduler::on_no_report(target_status& t, order_errc ec, scheduler_time time)
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -35,6 +35,8 @@
     duration store_grace{std::chrono::milliseconds{60}};
     /// Between two tries to reach an unreachable target.
     duration unreachable_retry{std::chrono::milliseconds{300}};
+    /// Between two looks at all waiting tasks without an event.
+    duration full_plan_interval{std::chrono::milliseconds{60}};
     /// Attempts of a task whose queue is no longer configured.
     std::uint32_t default_attempts = 2;
     /// Tail latency, as a share of the objective, above which tasks that fill up are slowed down ...
--- a/src/plugins/jobs/tests/tst_job_store.cpp
+++ b/src/plugins/jobs/tests/tst_job_store.cpp
@@ -55,17 +55,19 @@
     std::vector<leadership_event> events;
     leadership election;
 
-    candidate(virtual_loop& loop, fake_transaction_store& store, const std::string& name, std::uint64_t seed)
-        : link{loop, store}, random{seed}, election{link, loop.time(), random, settings(name),
+    candidate(virtual_loop& loop, fake_transaction_store& store, const std::string& name, std::uint64_t seed,
+              duration handicap = duration{0})
+        : link{loop, store}, random{seed}, election{link, loop.time(), random, settings(name, handicap),
                                                     [this](leadership_event event, const std::string&) {
                                                         events.push_back(event);
                                                     }}
     {
     }
-    static leadership_settings settings(const std::string& name)
+    static leadership_settings settings(const std::string& name, duration handicap)
     {
         leadership_settings s;
         s.self = name;
+        s.handicap = handicap;
         return s;
     }
 };
@@ -203,3 +205,21 @@
         CHECK(leader()->election.token() > highest);
     }
 }
+
+// Guards against a small host that leads a large fleet while larger hosts are there.
+TEST_CASE("a candidate without a handicap is elected before one with it")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        virtual_loop loop;
+        fake_transaction_store store{loop};
+        candidate small{loop, store, "small", seed, 200ms};
+        candidate large{loop, store, "large", seed + 100};
+        loop.run_for(1s, [&] {
+            small.election.tick();
+            large.election.tick();
+        });
+        CHECK(large.election.certain());
+        CHECK_FALSE(small.election.leading());
+    }
+}
