Lint the platform folder and the jobs plugin

Change: the filter covers platform/, the findings are corrected; the accounting of restored runs has a function of its own.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,10 +10,10 @@
 deps=$(mktemp)
 trap 'rm -f "$deps"' EXIT
 # "object: ..." lines followed by indented dependencies; keep only the project's own files.
-ninja -C "$build" -t deps | awk -v root="$root/src/" '
+ninja -C "$build" -t deps | awk -v root="$root/" '
     /^[^ ].*: #deps/ { n = 0; next }
-    /^ / { f = $1; sub(/^\.\.\//, "", f); if (index(f, root) == 1) f = substr(f, length(root) - 3);
-           if (n == 0) src = f; n++; if (f ~ /^src\//) print src, f }' | sort -u >"$deps"
+    /^ / { f = $1; sub(/^\.\.\//, "", f); if (index(f, root) == 1) f = substr(f, length(root) + 1);
+           if (n == 0) src = f; n++; if (f ~ /^(src|platform)\//) print src, f }' | sort -u >"$deps"
 export build cache deps
 lint_one() {
     key=$( { cat .clang-tidy "$1"; awk -v s="$1" '$1 == s { print $2 }' "$deps" | xargs -r cat; } | sha256sum | cut -d' ' -f1)
--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -167,6 +167,7 @@
             pool->second.idle.push_back({id, now - idle->second});
     }
     std::vector<pool_state> out;
+    out.reserve(pools.size());
     for (auto& [id, p] : pools)
         out.push_back(std::move(p));
     return out;
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -157,18 +157,8 @@
                                                (1.0 + settings_.clock_drift))} +
             settings_.lease_margin;
         t.next_observation = time.now;
-        // Runs restored before their target was listed.
-        for (auto& [id, open] : jobs_) {
-            open.state->for_open_tasks([&](const task_position& p, task& it) {
-                if (it.run && it.run->target == info.id) {
-                    t.runs.insert({id, p});
-                    if (!open.state->step(p.step).backfill)
-                        t.used.milli_cpu += open.state->step(p.step).need.milli_cpu;
-                    t.used.memory_mib += open.state->step(p.step).need.memory_mib;
-                    t.used.accelerators += open.state->step(p.step).need.accelerators;
-                }
-            });
-        }
+        t.info.id = info.id;
+        adopt_restored_runs(t);
         note(scheduler_event::target_added, {}, nullptr, 0, info.id, info.service.str());
     } else if (t.info.state != info.state || t.info.service != info.service || !t.listed) {
         note(scheduler_event::target_changed, {}, nullptr, 0, info.id,
@@ -187,6 +177,22 @@
     plan_needed_.insert(info.service);
 }
 
+void job_scheduler::adopt_restored_runs(target_status& t)
+{
+    for (const job_id& id : with_runs_) {
+        job& j = *jobs_.at(id).state;
+        j.for_open_tasks([&t, &j](const task_position& p, const task& it) {
+            if (!it.run || it.run->target != t.info.id)
+                return;
+            resources need = j.step(p.step).need;
+            if (j.step(p.step).backfill)
+                need.milli_cpu = 0;
+            t.used += need;
+            t.runs.insert({j.id(), p});
+        });
+    }
+}
+
 void job_scheduler::unlist_target(const target_id& id, scheduler_time time)
 {
     target_status* t = find_target(id);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -160,9 +160,9 @@
     [[nodiscard]] std::vector<target_command> take_commands();
 
     // Answers.
-    void on_start_answer(const target_id& target, const task_key& task, run_number run,
+    void on_start_answer(const target_id& target, const task_key& key, run_number run,
                          const tl::expected<order_answer, order_errc>& answer, scheduler_time time);
-    void on_stop_answer(const target_id& target, const task_key& task, run_number run,
+    void on_stop_answer(const target_id& target, const task_key& key, run_number run,
                         const tl::expected<order_answer, order_errc>& answer, scheduler_time time);
     void on_report(const target_id& target, const tl::expected<target_report, order_errc>& report,
                    timestamp sent_at, scheduler_time time);
@@ -198,6 +198,8 @@
     [[nodiscard]] const queue_config* queue_of(const job& j) const;
     void take_room(open_job& open, const task_position& p, const task_run& run);
     void release_room(open_job& open, const task_position& p, const task_run& run);
+    /// Accounts for runs that were restored before their target was listed.
+    void adopt_restored_runs(target_status& t);
     void void_run(open_job& open, const task_position& p, const char* reason, scheduler_time time);
     void after_change(open_job& open, scheduler_time time);
     void stop_run(open_job& open, const task_position& p, const char* reason, timestamp now);
--- a/src/plugins/jobs/tests/fakes/fake_transaction_store.h
+++ b/src/plugins/jobs/tests/fakes/fake_transaction_store.h
@@ -30,8 +30,8 @@
     [[nodiscard]] std::vector<kv_entry> list(const std::string& prefix);
     [[nodiscard]] store_changes changes(const std::string& prefix, store_revision after) const;
     [[nodiscard]] store_lease_id grant(duration ttl);
-    [[nodiscard]] bool renew(store_lease_id lease);
-    void end(store_lease_id lease);
+    [[nodiscard]] bool renew(store_lease_id id);
+    void end(store_lease_id id);
     /// Drops the history, so that watches have to read everything again.
     void forget_history() { oldest_ = revision_; }
     [[nodiscard]] store_revision oldest() const { return oldest_; }
