Continue waves of maintenance under the next leader

A second fault was found by reading: the platform confirms an order that was already carried out, and the runs of the living target would have been started again. Change: waves are passed on, their records (first seen, hosts done) are stored; runs on a host that was ordered down are given up only when its target is silent.

--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -19,9 +19,16 @@
     for (const auto& [name, wave] : waves) {
         if (waves_.contains(name))
             continue;
-        waves_[name] = wave_state{wave, time_.now(), {}, false, false, false, false};
+        wave_state& w = waves_[name];
+        w.wave = wave;
+        const auto restored = restored_.find(name);
+        if (restored != restored_.end())
+            w.record = restored->second;
+        else
+            w.record.seen_ms = time_.wall_now().time_since_epoch().count();
         log_.info("wave_seen", {{"wave", name},
                                 {"hosts", wave.hosts.size()},
+                                {"done", w.record.done.size()},
                                 {"max_down", wave.max_down},
                                 {"time_limit_ms", wave.time_limit.count() / 1000}});
     }
@@ -96,7 +103,7 @@
             return new_life || asked_at - work.ordered_at > settings_.doubt_time;
         // Without an answer, only a new life or a long wait shows what became of the order.
         if (new_life && work.kind == order_kind::maintain)
-            waves_[work.wave].done.insert(id);
+            mark_done(work, id);
         return new_life || asked_at - work.ordered_at > settings_.doubt_time;
     });
 }
@@ -200,6 +207,13 @@
     }
 }
 
+void host_manager::mark_done(const host_work& work, const std::string& host)
+{
+    const auto w = waves_.find(work.wave);
+    if (w != waves_.end())
+        w->second.record.done.insert(host);
+}
+
 void host_manager::update_cordons()
 {
     std::set<std::string> cordons;
@@ -208,7 +222,7 @@
     std::set<std::string> pending;
     for (const auto& [name, w] : waves_) {
         for (const std::string& host : w.wave.hosts) {
-            if (!w.done.contains(host))
+            if (!w.record.done.contains(host))
                 pending.insert(host);
         }
     }
@@ -270,10 +284,10 @@
     if (answer) {
         work.confirmed = true;
         if (work.kind == order_kind::maintain)
-            waves_[work.wave].done.insert(host);
+            mark_done(work, host);
         if (!work.old_target.empty())
-            scheduler_.target_ended(work.old_target,
-                                    {time_.now(), time_.wall_now().time_since_epoch().count()});
+            scheduler_.expect_end(work.old_target,
+                                  {time_.now(), time_.wall_now().time_since_epoch().count()});
         idle_since_.erase(host);
         return;
     }
@@ -284,7 +298,7 @@
     case host_errc::no_such_host:
         scheduler_.set_leaving(work.old_target, false);
         if (work.kind == order_kind::maintain)
-            waves_[work.wave].done.insert(host);
+            mark_done(work, host);
         work_.erase(it);
         return;
     default:
--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -4,6 +4,7 @@
 #include "jobs/host_operations.h"
 #include "jobs/job_scheduler.h"
 #include "jobs/pool_plan.h"
+#include "jobs/wave_record.h"
 #include "logging/logger.h"
 
 #include <functional>
@@ -46,6 +47,8 @@
     host_manager& operator=(const host_manager&) = delete;
 
     void set_config(std::shared_ptr<const fleet_config> config) { config_ = std::move(config); }
+    /// What earlier leaders stored; comes before the first `set_waves`.
+    void restore_waves(std::map<std::string, wave_record> records) { restored_ = std::move(records); }
     void set_waves(const std::map<std::string, maintenance_wave>& waves);
     void tick();
 
@@ -66,12 +69,11 @@
     };
     struct wave_state {
         maintenance_wave wave;
-        timestamp seen_at;
-        std::set<std::string> done;
-        bool status_out = false;
-        bool running_written = false;
+        wave_record record;
         bool completed = false;
-        bool completed_written = false;
+        bool status_out = false;
+        std::string reported; ///< The record that was last written.
+        bool completed_reported = false;
     };
 
     // host_manager.cpp
@@ -92,6 +94,7 @@
     void choose_maintenance();
     void choose_for(wave_state& w);
     void report(wave_state& w);
+    void mark_done(const host_work& work, const std::string& host);
     [[nodiscard]] std::size_t down_for(const std::string& wave) const;
     [[nodiscard]] bool ready_to_go_down(const std::string& host, host_work& work);
 
@@ -110,6 +113,7 @@
     std::map<std::string, timestamp> idle_since_;
     std::map<std::string, host_work> work_;
     std::map<std::string, wave_state> waves_;
+    std::map<std::string, wave_record> restored_;
     std::map<service_id, std::size_t> usual_size_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     timestamp next_list_;
--- a/src/plugins/jobs/host_operations.h
+++ b/src/plugins/jobs/host_operations.h
@@ -65,9 +65,10 @@
                       done_callback done) = 0;
     virtual void maintain(const std::string& host, std::uint64_t wave, fencing_token token,
                           done_callback done) = 0;
-    /// Tells the operator how far a wave is, on condition that the token's leader still leads.
-    virtual void report_wave(const maintenance_wave& wave, bool completed, fencing_token token,
-                             done_callback done) = 0;
+    /// Tells the operator how far a wave is, and stores `record` for the next leader, on condition that the
+    /// token's leader still leads.
+    virtual void report_wave(const maintenance_wave& wave, bool completed, const std::string& record,
+                             fencing_token token, done_callback done) = 0;
 };
 
 } // namespace mjm
--- a/src/plugins/jobs/host_waves.cpp
+++ b/src/plugins/jobs/host_waves.cpp
@@ -30,7 +30,7 @@
     std::vector<candidate> candidates;
     std::size_t left = 0;
     for (const std::string& id : w.wave.hosts) {
-        if (w.done.contains(id))
+        if (w.record.done.contains(id))
             continue;
         const auto host = hosts_.find(id);
         if (host == hosts_.end()) {
@@ -53,10 +53,10 @@
     std::sort(candidates.begin(), candidates.end(),
               [](const candidate& a, const candidate& b) { return a.load < b.load; });
     // As many at a time as are needed to be done in time; idle hosts cost nobody anything and go at once.
+    const double used =
+        static_cast<double>(time_.wall_now().time_since_epoch().count() - w.record.seen_ms) / 1000.0;
     const double time_left =
-        std::chrono::duration<double>(
-            w.seen_at + std::chrono::duration_cast<duration>(w.wave.time_limit * settings_.wave_share) - now)
-            .count();
+        settings_.wave_share * std::chrono::duration<double>(w.wave.time_limit).count() - used;
     const double rounds =
         std::max(1.0, std::floor(time_left / std::chrono::duration<double>(settings_.host_time).count()));
     const std::size_t needed = static_cast<std::size_t>(std::ceil(static_cast<double>(left) / rounds));
@@ -103,25 +103,29 @@
 
 void host_manager::report(wave_state& w)
 {
-    const bool completed = w.completed;
-    if (w.status_out || (completed ? w.completed_written : w.running_written) || !certain_())
+    const std::string record = encode_wave_record(w.record);
+    if (w.status_out || (record == w.reported && w.completed == w.completed_reported) || !certain_())
         return;
     w.status_out = true;
-    operations_.report_wave(w.wave, completed, token_,
-                            [this, name = w.wave.name, completed, alive = std::weak_ptr<bool>{alive_}](
-                                const tl::expected<void, host_errc>& result) {
-                                const bool written = result.has_value();
-                                if (alive.expired())
-                                    return;
-                                const auto it = waves_.find(name);
-                                if (it == waves_.end())
-                                    return;
-                                it->second.status_out = false;
-                                (completed ? it->second.completed_written : it->second.running_written) =
-                                    written;
-                                if (written)
-                                    log_.info("wave_reported", {{"wave", name}, {"completed", completed}});
-                            });
+    operations_.report_wave(
+        w.wave, w.completed, record, token_,
+        [this, name = w.wave.name, completed = w.completed, record,
+         alive = std::weak_ptr<bool>{alive_}](const tl::expected<void, host_errc>& result) {
+            if (alive.expired())
+                return;
+            const auto it = waves_.find(name);
+            if (it == waves_.end())
+                return;
+            it->second.status_out = false;
+            if (!result) {
+                log_.warn("wave_report_failed", {{"wave", name}, {"error", name_of(result.error())}});
+                return;
+            }
+            it->second.reported = record;
+            it->second.completed_reported = completed;
+            log_.info("wave_reported",
+                      {{"wave", name}, {"completed", completed}, {"done", it->second.record.done.size()}});
+        });
 }
 
 } // namespace mjm
--- a/src/plugins/jobs/job_keys.h
+++ b/src/plugins/jobs/job_keys.h
@@ -20,6 +20,8 @@
 /// Rewritten with each transaction of the leader, so that one that is executed late finds its condition gone.
 inline constexpr std::string_view journal = "mjm/journal";
 inline constexpr std::string_view leader = "mjm/leader";
+/// When a wave was first seen, and its hosts that have begun their maintenance.
+inline constexpr std::string_view waves = "mjm/wave/";
 
 [[nodiscard]] inline std::string of(std::string_view prefix, const job_id& id)
 {
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -80,13 +80,35 @@
                              if (page->more && !page->entries.empty())
                                  load_progress(page->entries.back().key);
                              else
-                                 follow_inbox();
+                                 load_waves();
+                         }));
+}
+
+void job_leader::load_waves()
+{
+    waves_due_ = false;
+    services_.store.list(std::string{job_keys::waves}, {},
+                         guarded([this](const tl::expected<store_page, store_errc>& page) {
+                             if (!page) {
+                                 waves_due_ = true;
+                                 next_load_ = services_.time.now() + settings_.retry;
+                                 return;
+                             }
+                             std::map<std::string, wave_record> records;
+                             for (const kv_entry& e : page->entries) {
+                                 if (std::optional<wave_record> record = decode_wave_record(e.value))
+                                     records[e.key.substr(job_keys::waves.size())] = std::move(*record);
+                                 else
+                                     services_.log.error("wave_record_unreadable", {{"entry", e.key}});
+                             }
+                             if (hosts_)
+                                 hosts_->restore_waves(std::move(records));
+                             follow_inbox();
                          }));
 }
 
 void job_leader::follow_inbox()
 {
-    progress_loaded_ = true;
     prefix_watch::handler h;
     h.on_snapshot = [this](const std::vector<kv_entry>& entries) { on_inbox_snapshot(entries); };
     h.on_change = [this](const store_change& change) {
@@ -120,6 +142,8 @@
             "jobs_loaded",
             {{"entries", entries.size()}, {"with_progress", stored_progress_.size()}, {"token", token_}});
     loaded_ = true;
+    if (hosts_)
+        hosts_->set_waves(waves_);
     stored_progress_.clear();
     pump();
 }
@@ -179,8 +203,9 @@
 
 void job_leader::set_waves(const std::map<std::string, maintenance_wave>& waves)
 {
-    if (hosts_)
-        hosts_->set_waves(waves);
+    waves_ = waves;
+    if (hosts_ && loaded_)
+        hosts_->set_waves(waves_);
 }
 
 void job_leader::tick()
@@ -192,6 +217,8 @@
         load_after_.reset();
         load_progress(after);
     }
+    if (waves_due_ && services_.time.now() >= next_load_)
+        load_waves();
     if (!journal_opened_ && !journal_opening_ && services_.time.now() >= next_load_) {
         journal_opening_ = true;
         journal_.open(guarded([this](const tl::expected<void, store_errc>& result) {
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -59,6 +59,7 @@
 
 private:
     void load_progress(const std::string& after);
+    void load_waves();
     void follow_inbox();
     void on_inbox_snapshot(const std::vector<kv_entry>& entries);
     void on_inbox(const kv_entry& entry);
@@ -93,7 +94,8 @@
     timestamp next_forget_;
     timestamp next_load_;
     std::optional<std::string> load_after_; ///< Set while a failed read of progress waits to be repeated.
-    bool progress_loaded_ = false;
+    bool waves_due_ = false;                ///< The waves' records have to be read.
+    std::map<std::string, maintenance_wave> waves_;
     bool journal_opened_ = false;
     bool journal_opening_ = false;
     bool loaded_ = false;
--- a/src/plugins/jobs/job_node.cpp
+++ b/src/plugins/jobs/job_node.cpp
@@ -56,6 +56,7 @@
                 step_down_reason_ = why;
                 step_down_ = true;
             });
+        leader_->set_waves(waves_);
     }
     if (leader_)
         leader_->tick();
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -136,8 +136,9 @@
     /// Hosts that take no new work, and hosts that will be maintained and so take no permanent tasks if
     /// others have room.
     void set_cordons(const std::set<std::string>& cordoned, const std::set<std::string>& maintained_soon);
-    /// Everything on the target has ended, because its host was moved or maintained.
-    void target_ended(const target_id& id, scheduler_time time);
+    /// The platform says that the target's host was moved or maintained, now or earlier. Its runs are given
+    /// up when the target does not answer any more; an answer shows that the order was an earlier one.
+    void expect_end(const target_id& id, scheduler_time time);
     [[nodiscard]] pool_demand demand_of(const service_id& service) const;
     [[nodiscard]] bool only_permanent_runs(const target_id& id) const;
     /// Whether every step with a limit of unavailable tasks can lose those on the target.
@@ -212,6 +213,7 @@
     // scheduler_hosts.cpp
     void add_demand(const open_job& open, pool_demand& demand) const;
     [[nodiscard]] bool stays_at_work(const task& t) const;
+    void target_ended(target_status& t, scheduler_time time);
 
     // scheduler_plan.cpp
     void plan_pool(const service_id& service, const std::set<job_id>& jobs, scheduler_time time);
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -53,8 +53,8 @@
 
 bool accepts_work(const target_status& t, timestamp now)
 {
-    return t.listed && t.synced && t.reachable && !t.cordoned && t.info.state == target_state::ready &&
-           now >= t.avoid_until;
+    return t.listed && t.synced && t.reachable && !t.cordoned && !t.leaving &&
+           t.info.state == target_state::ready && now >= t.avoid_until;
 }
 
 bool has_room(const target_status& t, const step_spec& step)
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -27,16 +27,28 @@
     plan_all_services();
 }
 
-void job_scheduler::target_ended(const target_id& id, scheduler_time time)
+void job_scheduler::expect_end(const target_id& id, scheduler_time time)
 {
     target_status* t = find_target(id);
     if (t == nullptr)
         return;
-    void_runs_of_target(*t, "host ordered down", time);
-    t->listed = false;
-    t->reachable = false;
-    t->synced = false;
-    t->lease_until = time.now;
+    if (t->settled()) {
+        target_ended(*t, time);
+        return;
+    }
+    t->leaving = true;
+    t->ordered_down_at = time.now;
+    t->next_observation = time.now;
+}
+
+void job_scheduler::target_ended(target_status& t, scheduler_time time)
+{
+    void_runs_of_target(t, "host ordered down", time);
+    t.listed = false;
+    t.reachable = false;
+    t.synced = false;
+    t.lease_until = time.now;
+    t.ordered_down_at = {};
 }
 
 void job_scheduler::add_demand(const open_job& open, pool_demand& demand) const
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -136,7 +136,7 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(settings_.target_lease).count();
         t.lease_until = std::max(t.lease_until, lease_end(now));
     }
-    if (t.synced && t.reachable && !t.runs.empty() && t.unstored.empty())
+    if (t.synced && t.reachable && !t.runs.empty() && t.unstored.empty() && t.ordered_down_at == timestamp{})
         request.wait = settings_.observation_wait;
     return request;
 }
@@ -159,6 +159,10 @@
         note(scheduler_event::target_reachable, {}, nullptr, 0, target, {}, age_ms(time.now, sent_at));
     }
     set_clock(*t, report->clock_ms, time.now);
+    if (t->ordered_down_at != timestamp{} && sent_at > t->ordered_down_at && report->born == t->info.born) {
+        t->ordered_down_at = {};
+        t->leaving = false;
+    }
     if (report->born != t->info.born) {
         note(scheduler_event::target_reborn, {}, nullptr, 0, target,
              std::to_string(t->info.born) + " to " + std::to_string(report->born));
@@ -203,6 +207,10 @@
         t.next_observation = time.now + settings_.unreachable_retry;
         return;
     }
+    if (t.ordered_down_at != timestamp{}) {
+        target_ended(t, time);
+        return;
+    }
     ++t.misses;
     if (t.reachable && t.misses >= settings_.misses_until_unreachable) {
         t.reachable = false;
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -24,6 +24,7 @@
     bool reachable = true;        ///< Its latest answers arrived.
     bool cordoned = false;        ///< Takes no new work, because its host is about to be maintained or moved.
     bool leaving = false;         ///< An order that ends everything on it may have been carried out.
+    timestamp ordered_down_at;    ///< When such an order was confirmed; the epoch if none was.
     bool maintained_soon = false; ///< Its host is to be maintained some time soon.
     int misses = 0;               ///< Observations without an answer since the last one with an answer.
 
--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -284,10 +284,34 @@
     CHECK_FALSE(f.scheduler.can_lose(b));
     f.scheduler.set_leaving(a, false);
     CHECK(f.scheduler.can_lose(b));
-    f.scheduler.target_ended(a, f.now());
+    f.scheduler.expect_end(a, f.now());
     CHECK_FALSE(f.scheduler.can_lose(b));
 }
 
+// Guards against a second run beside the first: the platform also confirms an order that an earlier leader
+// gave long ago.
+TEST_CASE("runs on a host that was ordered down are given up only when the target is silent")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    f.confirm(starts.at(0));
+    f.advance(5ms);
+    f.report(a, {running(starts[0])});
+    f.add_target("b");
+    f.scheduler.expect_end(a, f.now());
+    f.advance(5ms);
+    f.report(a, {running(starts[0])});
+    CHECK(f.plan_and_store().empty());
+    f.scheduler.expect_end(a, f.now());
+    f.advance(5ms);
+    f.miss(a);
+    const std::vector<start_command> again = f.plan_and_store();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].target.id == target_id{"b"});
+}
+
 TEST_CASE("permanent tasks leave a draining target")
 {
     scheduler_fixture f;
