Count the end of a run once; put small open work first in an overload

Work that can be in time was ordered by its due time, which lets all jobs of an overload miss theirs together. Change: the latest counted end of a task is stored; among jobs that can be in time, those with the least open work go first, since they give back their room soonest. Figures: the new case fails without the change.

--- a/src/plugins/jobs/job.cpp
+++ b/src/plugins/jobs/job.cpp
@@ -95,6 +95,18 @@
     return chain_over(true);
 }
 
+double job::open_work_core_seconds() const
+{
+    double work = 0.0;
+    const std::size_t steps = record_.spec.steps.size();
+    for (std::size_t i = 0; i < open_steps_.size(); ++i) {
+        const step_spec& s = record_.spec.steps[i % steps];
+        work += static_cast<double>(open_steps_[i]) * static_cast<double>(s.need.milli_cpu) / 1000.0 *
+                std::chrono::duration<double>(s.estimate).count();
+    }
+    return work;
+}
+
 duration job::chain_over(bool open_only) const
 {
     const std::size_t steps = record_.spec.steps.size();
--- a/src/plugins/jobs/job.h
+++ b/src/plugins/jobs/job.h
@@ -45,6 +45,7 @@
 struct task {
     bool done = false;
     run_number last_run = 0;
+    run_number ended_run = 0; ///< Latest run whose end has been counted; targets repeat ends.
     std::uint32_t failures = 0;
     std::string checkpoint;
     std::optional<task_run> run;
@@ -109,6 +110,8 @@
     [[nodiscard]] duration remaining_chain() const;
     /// Declared core-seconds of all tasks of one occurrence.
     [[nodiscard]] double work_core_seconds() const { return work_; }
+    /// Declared core-seconds of the tasks that are not done.
+    [[nodiscard]] double open_work_core_seconds() const;
     [[nodiscard]] bool permanent() const { return permanent_; }
 
     std::uint64_t change = 0; ///< Counts changes that the store has to learn.
--- a/src/plugins/jobs/job_codec.cpp
+++ b/src/plugins/jobs/job_codec.cpp
@@ -70,8 +70,8 @@
 
 json encode_task(const task_position& p, const task& t)
 {
-    json row = json::array(
-        {p.occurrence, p.step, p.index, t.done ? 1 : 0, t.last_run, t.failures, t.done ? "" : t.checkpoint});
+    json row = json::array({p.occurrence, p.step, p.index, t.done ? 1 : 0, t.last_run, t.failures,
+                            t.done ? "" : t.checkpoint, t.ended_run});
     if (t.run) {
         row.push_back(t.run->number);
         row.push_back(t.run->target.str());
@@ -80,8 +80,8 @@
     return row;
 }
 
-constexpr std::size_t task_columns = 7;
-constexpr std::size_t task_columns_with_run = 10;
+constexpr std::size_t task_columns = 8;
+constexpr std::size_t task_columns_with_run = 11;
 
 } // namespace
 
@@ -167,11 +167,12 @@
             t.last_run = row.at(4).get<run_number>();
             t.failures = row.at(5).get<std::uint32_t>();
             t.checkpoint = row.at(6).get<std::string>();
+            t.ended_run = row.at(7).get<run_number>();
             if (row.size() >= task_columns_with_run) {
                 task_run r;
-                r.number = row.at(7).get<run_number>();
-                r.target = target_id{row.at(8).get<std::string>()};
-                r.born = row.at(9).get<target_birth>();
+                r.number = row.at(8).get<run_number>();
+                r.target = target_id{row.at(9).get<std::string>()};
+                r.born = row.at(10).get<target_birth>();
                 r.phase = run_phase::unconfirmed;
                 t.run = std::move(r);
             }
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -227,8 +227,11 @@
         return;
     job& j = *open->state;
     task& it = j.at(end.task.position);
-    if (it.done || it.last_run != end.run || (it.run && it.run->target != t.info.id))
-        return; // an end of an earlier run; the task has moved on
+    // Ends of earlier runs, and ends that an earlier leader has counted.
+    if (it.done || it.last_run != end.run || it.ended_run == end.run ||
+        (it.run && it.run->target != t.info.id))
+        return;
+    it.ended_run = end.run;
     const bool permanent = j.step(end.task.position.step).permanent;
     note(scheduler_event::run_ended, j.id(), &end.task, end.run, t.info.id, std::string{name_of(end.how)},
          it.run ? age_ms(time.now, it.run->ordered_at) : 0);
--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -327,3 +327,22 @@
     f.add_job("batch", 1);
     CHECK(f.plan_and_store().empty());
 }
+
+// Guards against a job that fails too early: a target repeats the end of a run to the next leader.
+TEST_CASE("an end that an earlier leader has counted does not count again")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    f.confirm(starts.at(0));
+    f.report(a, {}, {ended(starts[0], 1, run_end::failed)});
+    const std::string text = encode_progress(*f.scheduler.find_job(job_id{"j"}));
+
+    scheduler_fixture g;
+    REQUIRE(g.scheduler.restore_job(g.record_of("j", 1), text, g.now()));
+    g.scheduler.set_target(g.info_of("a"), g.now());
+    g.report(a, {}, {ended(starts[0], 1, run_end::failed)});
+    CHECK(g.scheduler.find_job(job_id{"j"})->at({0, 0, 0}).failures == 1);
+    CHECK_FALSE(is_final(g.scheduler.find_job(job_id{"j"})->state()));
+}
--- a/src/plugins/jobs/work_order.cpp
+++ b/src/plugins/jobs/work_order.cpp
@@ -36,8 +36,7 @@
         rank.when = urgency::in_time;
     else
         rank.when = earliest_end <= objective.late_ms ? urgency::late : urgency::useless;
-    const double all_tasks = static_cast<double>(j.open_tasks());
-    rank.weight = static_cast<double>(objective.due_ms - earliest_end) + all_tasks;
+    rank.weight = j.open_work_core_seconds();
     return rank;
 }
 
