Begin a target's new life in one place

Ruled out: lost answers of the HTTP client; refused stops are logged now. Change: begin_life resets the count and gives up the runs of the life before, for both ways of learning of it.

--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -280,6 +280,12 @@
         services_.orders.stop(stop->target, stop->task, stop->run, token_,
                               guarded([this, target = stop->target.id, task = stop->task, run = stop->run](
                                           const tl::expected<order_answer, order_errc>& answer) {
+                                  if (!answer)
+                                      services_.log.warn("stop_refused",
+                                                         {{"task", to_string(task)},
+                                                          {"run", run},
+                                                          {"target", target},
+                                                          {"error", name_of(answer.error())}});
                                   scheduler_.on_stop_answer(target, task, run, answer, now());
                                   pump();
                               }));
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -164,13 +164,16 @@
         note(scheduler_event::target_changed, {}, nullptr, 0, info.id,
              info.state == target_state::draining ? "draining" : "ready");
     }
-    if (!added && t.info.born != info.born && info.born > t.info.born) {
-        t.synced = false;
-        t.next_observation = time.now;
-    }
-    const target_birth known = std::max(t.info.born, info.born);
+    const target_birth known = t.info.born;
     t.info = info;
-    t.info.born = added ? info.born : known;
+    if (!added) {
+        t.info.born = known;
+        if (info.born > known) {
+            begin_life(t, info.born, time);
+            t.synced = false;
+            t.next_observation = time.now;
+        }
+    }
     t.listed = true;
     t.cordoned = cordons_.contains(info.host);
     t.maintained_soon = maintained_soon_.contains(info.host);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -232,6 +232,8 @@
     void compare_runs(target_status& t, const target_report& report, timestamp sent_at, scheduler_time time);
     void on_missing_run(target_status& t, open_job& open, const task_position& p, timestamp sent_at,
                         scheduler_time time);
+    /// The target has been started again: it holds and lists nothing of before.
+    void begin_life(target_status& t, target_birth born, scheduler_time time);
     void on_no_report(target_status& t, order_errc ec, scheduler_time time);
     void adjust_pace(target_status& t, const target_report& report);
     void set_clock(target_status& t, std::int64_t clock_ms, timestamp now);
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -158,28 +158,13 @@
         t->reachable = true;
         note(scheduler_event::target_reachable, {}, nullptr, 0, target, {}, age_ms(time.now, sent_at));
     }
-    set_clock(*t, report->clock_ms, time.now);
     if (t->ordered_down_at != timestamp{} && sent_at > t->ordered_down_at && report->born == t->info.born) {
         t->ordered_down_at = {};
         t->leaving = false;
     }
-    if (report->born != t->info.born) {
-        note(scheduler_event::target_reborn, {}, nullptr, 0, target,
-             std::to_string(t->info.born) + " to " + std::to_string(report->born));
-        t->info.born = report->born;
-        t->ends_seen = 0;
-        t->ends_noted = 0;
-        t->unstored.clear();
-        const std::set<task_key> runs = t->runs;
-        for (const task_key& key : runs) {
-            open_job* open = find_open(key.job);
-            if (open == nullptr)
-                continue;
-            const task& it = open->state->at(key.position);
-            if (it.run && it.run->born != report->born)
-                void_run(*open, key.position, "target started again", time);
-        }
-    }
+    if (report->born != t->info.born)
+        begin_life(*t, report->born, time);
+    set_clock(*t, report->clock_ms, time.now);
     t->synced = true;
     for (const listed_end& end : report->ended) {
         if (end.sequence <= t->ends_seen)
@@ -196,6 +181,26 @@
         plan_needed_.insert(t->info.service);
 }
 
+void job_scheduler::begin_life(target_status& t, target_birth born, scheduler_time time)
+{
+    note(scheduler_event::target_reborn, {}, nullptr, 0, t.info.id,
+         std::to_string(t.info.born) + " to " + std::to_string(born));
+    t.info.born = born;
+    t.clock_known = false;
+    t.ends_seen = 0;
+    t.ends_noted = 0;
+    t.unstored.clear();
+    const std::set<task_key> runs = t.runs;
+    for (const task_key& key : runs) {
+        open_job* open = find_open(key.job);
+        if (open == nullptr)
+            continue;
+        const task& it = open->state->at(key.position);
+        if (it.run && it.run->born != born)
+            void_run(*open, key.position, "target started again", time);
+    }
+}
+
 void job_scheduler::on_no_report(target_status& t, order_errc ec, scheduler_time time)
 {
     if (ec == order_errc::fenced)
--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -346,3 +346,28 @@
     CHECK(g.scheduler.find_job(job_id{"j"})->at({0, 0, 0}).failures == 1);
     CHECK_FALSE(is_final(g.scheduler.find_job(job_id{"j"})->state()));
 }
+
+// Guards against ends of a new life that are taken for ends of the life before, and forgotten.
+TEST_CASE("a target that discovery reports as started again counts its ends anew")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 2);
+    std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 2);
+    for (const start_command& s : starts)
+        f.confirm(s);
+    f.report(a, {running(starts[1])}, {ended(starts[0], 1, run_end::done)});
+    f.scheduler.on_stored(f.scheduler.unstored(10), f.now());
+
+    target_info info = f.info_of("a");
+    info.born = 2;
+    f.scheduler.set_target(info, f.now());
+    f.report(a, {}, {}, 2);
+    starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    f.confirm(starts[0]);
+    f.advance(5ms);
+    f.report(a, {}, {ended(starts[0], 1, run_end::done)}, 2);
+    CHECK(f.scheduler.find_job(job_id{"j"})->state() == job_state::completed);
+}
