Count the leader's decisions, log refusals, refuse jobs that need gangs or advice

Cause: decisions had log lines but no counters; refusals by the front had no line; a job with a gang would have been started piecemeal.

--- a/src/plugins/jobs/job_front.cpp
+++ b/src/plugins/jobs/job_front.cpp
@@ -3,6 +3,8 @@
 #include "jobs/job_codec.h"
 #include "jobs/job_keys.h"
 
+#include <algorithm>
+
 namespace mjm {
 
 job_front::job_front(job_front_settings settings, transaction_store& store, leader_link& leader,
@@ -43,14 +45,33 @@
     return tasks > 0 && spec.occurrences > 0 && tasks * spec.occurrences <= settings_.max_tasks;
 }
 
+void job_front::log_refusal(const char* call, const caller_address& caller, front_errc ec) const
+{
+    const std::size_t slash = caller.path.rfind('/');
+    log_.info("request_refused",
+              {{"job", slash == std::string::npos ? std::string{} : caller.path.substr(slash + 1)},
+               {"call", call},
+               {"reason", name_of(ec)},
+               {"config_version", config_ ? config_->version : 0}});
+}
+
 void job_front::submit(const caller_address& caller, job_spec spec, done_callback done)
 {
     const tl::expected<route, front_errc> r = resolve(caller);
     if (!r) {
+        log_refusal("submit", caller, r.error());
         done(tl::unexpected{r.error()});
         return;
     }
+    const bool unsupported = r->queue->needs_advice || std::any_of(spec.steps.begin(), spec.steps.end(),
+                                                                   [](const step_spec& s) { return s.gang; });
+    if (unsupported) {
+        log_refusal("submit", caller, front_errc::unsupported_job);
+        done(tl::unexpected{front_errc::unsupported_job});
+        return;
+    }
     if (r->id.empty() || !is_valid_name(r->id.str()) || !valid(spec)) {
+        log_refusal("submit", caller, front_errc::invalid_job);
         done(tl::unexpected{front_errc::invalid_job});
         return;
     }
@@ -74,7 +95,10 @@
     store_.commit(std::move(t), [this, id, text, give_up, maybe_written, done = std::move(done)](
                                     const tl::expected<store_revision, transaction_error>& result) mutable {
         if (result || result.error().code == store_errc::conflict) {
-            log_.info("job_accepted", {{"job", id}, {"outcome", result ? "stored" : "stored before"}});
+            log_.info("job_accepted", {{"job", id},
+                                       {"outcome", result ? "stored" : "stored before"},
+                                       {"revision", result ? *result : 0},
+                                       {"config_version", config_->version}});
             done({});
             return;
         }
@@ -96,6 +120,7 @@
 {
     const tl::expected<route, front_errc> r = resolve(caller);
     if (!r) {
+        log_refusal("cancel", caller, r.error());
         done(tl::unexpected{r.error()});
         return;
     }
@@ -132,6 +157,7 @@
 {
     const tl::expected<route, front_errc> r = resolve(caller);
     if (!r) {
+        log_refusal("state", caller, r.error());
         done(tl::unexpected{r.error()});
         return;
     }
@@ -178,6 +204,7 @@
 {
     const tl::expected<route, front_errc> r = resolve(caller);
     if (!r) {
+        log_refusal("count", caller, r.error());
         done(tl::unexpected{r.error()});
         return;
     }
--- a/src/plugins/jobs/job_front.h
+++ b/src/plugins/jobs/job_front.h
@@ -19,6 +19,7 @@
     no_such_queue,      ///< No queue has this address.
     unknown_key,        ///< The key belongs to no team.
     invalid_job,        ///< The job can't be run by any fleet; nothing was done.
+    unsupported_job,    ///< It needs gangs or advice, which this version does not offer; nothing was done.
     unknown_job,        ///< No job of this name is known.
     store_unavailable,  ///< The store refused or can't be reached; nothing was done.
     outcome_unknown,    ///< The store did not answer; the change may have been made.
@@ -27,11 +28,12 @@
 
 template <>
 struct enum_names<front_errc> {
-    static constexpr std::array<std::pair<front_errc, std::string_view>, 8> entries{{
+    static constexpr std::array<std::pair<front_errc, std::string_view>, 9> entries{{
         {front_errc::no_config, "no_config"},
         {front_errc::no_such_queue, "no_such_queue"},
         {front_errc::unknown_key, "unknown_key"},
         {front_errc::invalid_job, "invalid_job"},
+        {front_errc::unsupported_job, "unsupported_job"},
         {front_errc::unknown_job, "unknown_job"},
         {front_errc::store_unavailable, "store_unavailable"},
         {front_errc::outcome_unknown, "outcome_unknown"},
@@ -95,6 +97,7 @@
     };
     [[nodiscard]] tl::expected<route, front_errc> resolve(const caller_address& caller) const;
     [[nodiscard]] bool valid(const job_spec& spec) const;
+    void log_refusal(const char* call, const caller_address& caller, front_errc ec) const;
     void write_job(const job_id& id, const std::string& text, timestamp give_up, bool maybe_written,
                    done_callback done);
     void read_state(const job_id& id, leader_link::state_callback done);
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -286,6 +286,7 @@
                                                           {"run", run},
                                                           {"target", target},
                                                           {"error", name_of(answer.error())}});
+                                  count_answer("stop", answer);
                                   scheduler_.on_stop_answer(target, task, run, answer, now());
                                   pump();
                               }));
@@ -295,7 +296,9 @@
                                             {"target", pace->target.id},
                                             {"percent", pace->percent}});
         services_.orders.pace(pace->target, pace->task, pace->run, pace->percent, token_,
-                              guarded([](const tl::expected<order_answer, order_errc>&) {}));
+                              guarded([this](const tl::expected<order_answer, order_errc>& answer) {
+                                  count_answer("pace", answer);
+                              }));
     }
 }
 
@@ -367,8 +370,36 @@
     return scheduler_.waiting_jobs(queue);
 }
 
+void job_leader::count_note(const scheduler_note& n)
+{
+    services_.metrics
+        .counter("mjm_scheduler_events_total", "The leader's decisions and observations.",
+                 {{"event", std::string{name_of(n.event)}}})
+        .add();
+    if (n.event == scheduler_event::job_finished)
+        services_.metrics
+            .histogram("mjm_job_seconds", "Time from the acceptance of a job to its end.",
+                       {0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0}, {{"state", n.reason}})
+            .observe(static_cast<double>(n.age_ms) / 1000.0);
+    if (n.event == scheduler_event::run_planned && n.run == 1)
+        services_.metrics
+            .histogram("mjm_first_start_seconds",
+                       "Time from the acceptance of a job to the choice of a target for a task's first run.",
+                       {0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0})
+            .observe(static_cast<double>(n.age_ms) / 1000.0);
+}
+
+void job_leader::count_answer(const char* order, const tl::expected<order_answer, order_errc>& answer)
+{
+    services_.metrics
+        .counter("mjm_orders_total", "Orders to targets by outcome.",
+                 {{"order", order}, {"outcome", answer ? "done" : std::string{name_of(answer.error())}}})
+        .add();
+}
+
 void job_leader::log_note(const scheduler_note& n)
 {
+    count_note(n);
     services_.log.info(n.event, {{"job", n.job},
                                  {"task", n.task},
                                  {"run", n.run},
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -8,6 +8,7 @@
 #include "jobs/target_directory.h"
 #include "jobs/transaction_store.h"
 #include "logging/logger.h"
+#include "metrics/metric_registry.h"
 
 #include <functional>
 #include <map>
@@ -33,6 +34,7 @@
     host_operations* hosts; ///< Null where hosts can't be moved or maintained.
     const clock& time;
     logger log;
+    metric_registry& metrics;
 };
 
 enum class leader_errc { loading, unknown_job };
@@ -69,6 +71,8 @@
     void send_observations();
     void forget_old_jobs();
     void log_note(const scheduler_note& n);
+    void count_note(const scheduler_note& n);
+    void count_answer(const char* order, const tl::expected<order_answer, order_errc>& answer);
     [[nodiscard]] scheduler_time now() const;
     /// A callback that does nothing once this leader has gone.
     template <typename Function>
--- a/src/plugins/jobs/job_node.h
+++ b/src/plugins/jobs/job_node.h
@@ -26,6 +26,7 @@
     const clock& time;
     random_source& random;
     logger log;
+    metric_registry& metrics;
 };
 
 /// The job service of one entry host: takes callers' requests, and leads when it is elected.
