--- a/src/libs/net/io_runtime.cpp
+++ b/src/libs/net/io_runtime.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
+#include <future>
 #include <optional>
 #include <thread>
 
@@ -33,6 +35,13 @@
         impl_->thread_ = std::thread{[this] { impl_->context_.run(); }};
 }
 
+void io_runtime::settle()
+{
+    std::promise<void> reached;
+    boost::asio::post(impl_->context_, [&reached] { reached.set_value(); });
+    reached.get_future().wait();
+}
+
 void io_runtime::stop()
 {
     impl_->context_.stop();
--- a/src/libs/net/io_runtime.h
+++ b/src/libs/net/io_runtime.h
@@ -19,6 +19,9 @@
     io_runtime& operator=(const io_runtime&) = delete;
 
     void start();
+    /// Waits until what was posted before has run, for example the closing of destroyed clients. The loop
+    /// must be running, and the caller must not be on its thread.
+    void settle();
     void stop();
     [[nodiscard]] boost::asio::io_context& context();
 
--- a/src/plugins/jobs/job_front.cpp
+++ b/src/plugins/jobs/job_front.cpp
@@ -32,6 +32,17 @@
     return r;
 }
 
+bool job_front::may_try_store()
+{
+    if (!store_silent_)
+        return true;
+    const timestamp now = time_.now();
+    if (now < next_probe_)
+        return false;
+    next_probe_ = now + settings_.probe_interval;
+    return true;
+}
+
 bool job_front::valid(const job_spec& spec) const
 {
     std::size_t tasks = 0;
@@ -75,6 +86,11 @@
         done(tl::unexpected{front_errc::invalid_job});
         return;
     }
+    if (!may_try_store()) {
+        log_refusal("submit", caller, front_errc::store_unavailable);
+        done(tl::unexpected{front_errc::store_unavailable});
+        return;
+    }
     job_record record;
     record.id = r->id;
     record.queue = r->queue->id;
@@ -94,6 +110,7 @@
     t.writes.push_back({key, text, std::nullopt, 0});
     store_.commit(std::move(t), [this, id, text, give_up, maybe_written, done = std::move(done)](
                                     const tl::expected<store_revision, transaction_error>& result) mutable {
+        store_silent_ = !result && may_have_taken_effect(result.error().code);
         if (result || result.error().code == store_errc::conflict) {
             log_.info("job_accepted", {{"job", id},
                                        {"outcome", result ? "stored" : "stored before"},
--- a/src/plugins/jobs/job_front.h
+++ b/src/plugins/jobs/job_front.h
@@ -69,6 +69,8 @@
     std::size_t max_tasks = 2000;
     /// Tries to write a job whose outcome is unknown, before the caller is told so.
     duration write_time{std::chrono::milliseconds{2400}};
+    /// While the store is silent, one job in this time is tried; all others are refused at once.
+    duration probe_interval{std::chrono::milliseconds{400}};
 };
 
 /// Takes callers' requests on any entry host: a job is accepted when the store has it. All callbacks run
@@ -96,6 +98,8 @@
         job_id id; ///< Empty when the path ends with the queue's prefix.
     };
     [[nodiscard]] tl::expected<route, front_errc> resolve(const caller_address& caller) const;
+    /// Whether a write is to be tried: always, but for a store that is silent and was tried just now.
+    [[nodiscard]] bool may_try_store();
     [[nodiscard]] bool valid(const job_spec& spec) const;
     void log_refusal(const char* call, const caller_address& caller, front_errc ec) const;
     void write_job(const job_id& id, const std::string& text, timestamp give_up, bool maybe_written,
@@ -109,6 +113,8 @@
     const clock& time_;
     logger log_;
     std::shared_ptr<const fleet_config> config_;
+    bool store_silent_ = false; ///< The latest write that has ended got no answer.
+    timestamp next_probe_;
 };
 
 } // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/tests/tst_job_front.cpp
@@ -0,0 +1,136 @@
+#include "fake_transaction_store.h"
+#include "jobs/job_front.h"
+#include "jobs/job_keys.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mjm;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A leader that nobody reaches.
+class no_leader final : public leader_link {
+public:
+    void state_of(const job_id& /*id*/, state_callback done) override
+    {
+        done(tl::unexpected{front_errc::leader_unavailable});
+    }
+    void waiting_jobs(const queue_id& /*queue*/, count_callback done) override
+    {
+        done(tl::unexpected{front_errc::leader_unavailable});
+    }
+};
+
+struct front_fixture {
+    virtual_loop loop;
+    fake_transaction_store store{loop};
+    fake_store_link link{loop, store};
+    no_leader leader;
+    log_sink sink{log_settings{}, loop.time(), [](const std::string&) {}};
+    job_front front{{}, link, leader, loop.time(), logger{sink, "front"}};
+    std::shared_ptr<fleet_config> config = std::make_shared<fleet_config>();
+
+    front_fixture()
+    {
+        queue_config q;
+        q.id = queue_id{"q"};
+        q.host = "h.example";
+        q.prefix = "/q/";
+        q.service = service_id{"s"};
+        config->queues.push_back(q);
+        config->teams_by_key.emplace("key", team_id{"t"});
+        front.set_config(config);
+    }
+    static job_spec spec()
+    {
+        job_spec out;
+        out.steps.emplace_back();
+        return out;
+    }
+    tl::expected<void, front_errc> submit(const std::string& id, duration wait = 5s)
+    {
+        tl::expected<void, front_errc> result{tl::unexpected{front_errc::no_config}};
+        front.submit({"h.example", "/q/" + id, "key"}, spec(),
+                     [&result](const tl::expected<void, front_errc>& r) { result = r; });
+        loop.run_for(wait);
+        return result;
+    }
+    tl::expected<job_state, front_errc> state(const std::string& id)
+    {
+        tl::expected<job_state, front_errc> result{tl::unexpected{front_errc::no_config}};
+        front.state_of({"h.example", "/q/" + id, "key"},
+                       [&result](const tl::expected<job_state, front_errc>& r) { result = r; });
+        loop.run_for(1s);
+        return result;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a job is accepted once, however often it is submitted")
+{
+    front_fixture f;
+    CHECK(f.submit("a"));
+    CHECK(f.submit("a"));
+    CHECK(f.store.list(std::string{job_keys::accepted}).size() == 1);
+    CHECK(f.state("a") == job_state::pending);
+    CHECK(f.state("b").error() == front_errc::unknown_job);
+}
+
+// Guards against 'not run' for a job that the store has taken without an answer.
+TEST_CASE("a lost answer of the store is resolved before the caller is answered")
+{
+    front_fixture f;
+    f.link.lost_commits = 1;
+    CHECK(f.submit("a"));
+    CHECK(f.store.list(std::string{job_keys::accepted}).size() == 1);
+}
+
+TEST_CASE("an outcome that stays unknown is not reported as a refusal")
+{
+    front_fixture f;
+    f.link.reachable = false;
+    CHECK(f.submit("a").error() == front_errc::outcome_unknown);
+}
+
+// Guards against callers that wait for their deadline although the store is known to be silent.
+TEST_CASE("while the store is silent, jobs are refused at once, and one now and then is tried")
+{
+    front_fixture f;
+    f.link.reachable = false;
+    CHECK(f.submit("a").error() == front_errc::outcome_unknown);
+    const std::size_t tried = f.link.commits;
+    // The first one is a probe; the second one comes within the interval.
+    static_cast<void>(f.submit("b", 10ms));
+    CHECK(f.submit("c", 10ms).error() == front_errc::store_unavailable);
+    CHECK(f.link.commits == tried + 1);
+    f.link.reachable = true;
+    f.loop.run_for(1s);
+    CHECK(f.submit("d"));
+    CHECK(f.submit("e"));
+    CHECK(f.store.find("mjm/inbox/job/c") == nullptr);
+}
+
+TEST_CASE("refusals are typed")
+{
+    front_fixture f;
+    f.config->queues.front().anonymous = false;
+    tl::expected<void, front_errc> result;
+    const auto submit = [&](const caller_address& caller, job_spec spec) {
+        f.front.submit(caller, std::move(spec),
+                       [&result](const tl::expected<void, front_errc>& r) { result = r; });
+        f.loop.run_for(100ms);
+        return result ? front_errc::no_config : result.error();
+    };
+    CHECK(submit({"h.example", "/other/a", "key"}, f.spec()) == front_errc::no_such_queue);
+    CHECK(submit({"h.example", "/q/a", "stolen"}, f.spec()) == front_errc::unknown_key);
+    CHECK(submit({"h.example", "/q/", "key"}, f.spec()) == front_errc::invalid_job);
+    job_spec cyclic = f.spec();
+    cyclic.steps[0].after = {0};
+    CHECK(submit({"h.example", "/q/a", "key"}, cyclic) == front_errc::invalid_job);
+    job_spec gang = f.spec();
+    gang.steps[0].gang = true;
+    CHECK(submit({"h.example", "/q/a", "key"}, gang) == front_errc::unsupported_job);
+    CHECK(f.store.list(std::string{job_keys::accepted}).empty());
+}
