Size pools by all hosts of the fleet; order work by slack and size

Change: each pool keeps 0.42 of an equal division of all hosts; among jobs that can be in time, slack and open work count together.

--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -74,14 +74,10 @@
 void host_manager::on_hosts(std::vector<host_info> hosts, timestamp asked_at)
 {
     hosts_.clear();
-    std::map<service_id, std::size_t> sizes;
     for (host_info& h : hosts) {
-        ++sizes[h.pool];
         last_listed_[h.id] = asked_at;
         hosts_[h.id] = std::move(h);
     }
-    for (const auto& [service, n] : sizes)
-        usual_size_.try_emplace(service, n);
     listed_ = true;
     finish_arrivals(asked_at);
 }
@@ -152,8 +148,6 @@
         pool_state& p = pools[id];
         p.service = id;
         p.standby = service.standby;
-        const auto usual = usual_size_.find(id);
-        p.usual = usual == usual_size_.end() ? 0 : usual->second;
         const pool_demand demand = scheduler_.demand_of(id);
         p.needed = hosts_for(demand.total, id);
         p.waiting = hosts_for(demand.waiting, id);
--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -114,7 +114,6 @@
     std::map<std::string, host_work> work_;
     std::map<std::string, wave_state> waves_;
     std::map<std::string, wave_record> restored_;
-    std::map<service_id, std::size_t> usual_size_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     timestamp next_list_;
     timestamp next_plan_;
--- a/src/plugins/jobs/pool_plan.cpp
+++ b/src/plugins/jobs/pool_plan.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
-std::size_t wanted_hosts(const pool_state& p, const pool_plan_settings& settings)
+/// `division` is the number of hosts that each pool would get in an equal division.
+std::size_t wanted_hosts(const pool_state& p, const pool_plan_settings& settings, double division)
 {
     const double wanted = std::ceil(p.needed * (1.0 + settings.headroom) + settings.spare_hosts);
-    const double kept = std::ceil(settings.kept_share * static_cast<double>(p.usual));
+    const double kept = std::ceil(settings.kept_share * division);
     return std::max(
         {static_cast<std::size_t>(wanted), static_cast<std::size_t>(kept), settings.fewest_hosts});
 }
@@ -32,15 +33,22 @@
 std::vector<host_move> plan_moves(std::vector<pool_state> pools, const pool_plan_settings& settings)
 {
     std::vector<host_move> moves;
+    std::size_t hosts = 0;
+    std::size_t active = 0;
+    for (const pool_state& p : pools) {
+        hosts += p.hosts;
+        active += p.standby ? 0 : 1;
+    }
+    const double division = active == 0 ? 0.0 : static_cast<double>(hosts) / static_cast<double>(active);
     // The pool with the most waiting work is served first.
     std::sort(pools.begin(), pools.end(),
               [](const pool_state& a, const pool_state& b) { return a.waiting > b.waiting; });
     for (pool_state& to : pools) {
         if (to.standby)
             continue;
-        const std::size_t wanted = wanted_hosts(to, settings);
+        const std::size_t wanted = wanted_hosts(to, settings, division);
         const auto take_from = [&](pool_state& from) {
-            const std::size_t kept = from.standby ? 0 : wanted_hosts(from, settings);
+            const std::size_t kept = from.standby ? 0 : wanted_hosts(from, settings, division);
             while (to.hosts < wanted && !from.idle.empty() && from.hosts > kept) {
                 moves.push_back({take_longest_idle(from).id, from.service, to.service});
                 ++to.hosts;
@@ -62,7 +70,7 @@
     for (pool_state& from : pools) {
         if (from.standby)
             continue;
-        const std::size_t wanted = wanted_hosts(from, settings);
+        const std::size_t wanted = wanted_hosts(from, settings, division);
         std::erase_if(from.idle, [&](const spare_host& h) { return h.idle_for < settings.idle_time; });
         while (from.hosts > wanted && !from.idle.empty())
             moves.push_back({take_longest_idle(from).id, from.service, standby->service});
--- a/src/plugins/jobs/pool_plan.h
+++ b/src/plugins/jobs/pool_plan.h
@@ -13,8 +13,9 @@
     /// Hosts kept beyond the present need, since a new one takes seconds to join.
     double spare_hosts = 1.5;
     std::size_t fewest_hosts = 3;
-    /// Share of the pool's configured size that is kept even when nothing asks for it.
-    double kept_share = 0.5;
+    /// Share of an equal division of all hosts among the pools that is kept even when nothing asks for it.
+    /// Not of a pool's size in the past, which a new leader does not know.
+    double kept_share = 0.42;
     /// An idle host is switched off after this long, which is worth more than the cost of two moves.
     duration idle_time{std::chrono::milliseconds{2500}};
 };
--- a/src/plugins/jobs/tests/tst_job_decisions.cpp
+++ b/src/plugins/jobs/tests/tst_job_decisions.cpp
@@ -39,7 +39,6 @@
     pool_state p;
     p.service = service_id{service};
     p.hosts = hosts;
-    p.usual = 8;
     p.needed = needed;
     for (std::size_t i = 0; i < idle; ++i)
         p.idle.push_back({service + std::to_string(i), idle_for});
@@ -177,3 +176,16 @@
     for (const char* text : {"", "a", "a.1.2", "a.1.x.3", ".1.2.3", "a.1..3"})
         CHECK_FALSE(parse_task_key(text));
 }
+
+// Guards against a new leader that takes the pools' present sizes, after hosts were switched off, for the
+// usual ones, and so keeps too few.
+TEST_CASE("pools keep a share of all hosts, however small they are at present")
+{
+    pool_state off = make_pool("off", 24, 0.0, 24);
+    off.standby = true;
+    pool_state small = make_pool("fit", 2, 0.1, 0);
+    pool_state other = make_pool("sort", 6, 0.1, 0);
+    const std::vector<host_move> moves = plan_moves({small, other, off}, pool_plan_settings{});
+    // 32 hosts for two pools: 0.42 of 16 are 7 hosts each.
+    CHECK(moves.size() == 5 + 1);
+}
--- a/src/plugins/jobs/work_order.cpp
+++ b/src/plugins/jobs/work_order.cpp
@@ -7,6 +7,9 @@
 // A result later than this multiple of the objective is of no use, according to the operators' rules.
 constexpr double useless_after = 3.0;
 
+// Open work that weighs as much as a second of slack: about half of a mean job of the larger queues.
+constexpr double work_per_slack_second = 60.0;
+
 std::int64_t to_ms(duration d)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
@@ -36,7 +39,8 @@
         rank.when = urgency::in_time;
     else
         rank.when = earliest_end <= objective.late_ms ? urgency::late : urgency::useless;
-    rank.weight = j.open_work_core_seconds();
+    rank.weight = static_cast<double>(objective.due_ms - earliest_end) / 1000.0 +
+                  j.open_work_core_seconds() / work_per_slack_second;
     return rank;
 }
 
