--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -32,15 +32,16 @@
 
 struct http_client_settings {
     std::size_t max_connections_per_endpoint = 64;
-    /// Calls beyond the limit of connections wait for a free one instead of failing with `too_many`.
-    bool wait_for_connection = false;
     std::size_t max_response = 64 << 20;
     duration connect_timeout{std::chrono::seconds{1}};
     duration idle_timeout{std::chrono::seconds{30}}; ///< An unused connection is closed after this.
+    /// Calls beyond the limit of connections wait for a free one instead of failing with `too_many`.
+    bool wait_for_connection = false;
 };
 
 /// HTTP/1.1 client with persistent connections. Never repeats a request by itself, except on a reused
-/// connection that was closed before any byte of the request had been written.
+/// connection that was closed before any byte of the request had been written. The connection of a call that
+/// has failed is reset, so that nothing of the call arrives later.
 class http_client {
 public:
     using callback = std::function<void(tl::expected<http_response, http_errc>)>;
--- a/src/plugins/jobs/tests/fakes/fake_targets.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_targets.cpp
@@ -86,7 +86,7 @@
 void fake_fleet::begin(target& t, const start_order& order)
 {
     ++starts;
-    if (done.contains(order.task))
+    if (done_tasks.contains(order.task))
         violations.push_back("started after its end: " + to_string(order.task));
     for (const auto& [host, other] : hosts_) {
         if (other.up && other.running.contains(order.task) && &other != &t)
@@ -101,7 +101,7 @@
 }
 
 template <typename Callback, typename Effect>
-void fake_fleet::deliver(Callback callback, Effect effect)
+void fake_fleet::deliver(Callback done, Effect effect)
 {
     const bool late = random_.chance(late_orders);
     const bool lost = random_.chance(lost_answers);
@@ -109,20 +109,20 @@
         const duration delay =
             late ? duration{std::chrono::milliseconds{2000 + random_.below(10'000)}} : duration{latency};
         loop_.after(delay, [effect] { static_cast<void>(effect()); });
-        loop_.after(call_timeout, [callback] { callback(tl::unexpected{order_errc::no_answer}); });
+        loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
         return;
     }
-    loop_.after(latency, [callback, effect] { callback(effect()); });
+    loop_.after(latency, [done, effect] { done(effect()); });
 }
 
 void fake_fleet::start(const target_ref& to, const start_order& order,
-                       const target_orders::order_callback& callback)
+                       const target_orders::order_callback& done)
 {
     if (find(to) == nullptr) {
-        loop_.after(call_timeout, [callback] { callback(tl::unexpected{order_errc::no_answer}); });
+        loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
         return;
     }
-    deliver(callback, [this, to, order]() -> tl::expected<order_answer, order_errc> {
+    deliver(done, [this, to, order]() -> tl::expected<order_answer, order_errc> {
         target* t = find(to);
         if (t == nullptr)
             return tl::unexpected{order_errc::no_answer};
@@ -143,13 +143,13 @@
 }
 
 void fake_fleet::stop(const target_ref& to, const task_key& task, run_number number, fencing_token token,
-                      const target_orders::order_callback& callback)
+                      const target_orders::order_callback& done)
 {
     if (find(to) == nullptr) {
-        loop_.after(call_timeout, [callback] { callback(tl::unexpected{order_errc::no_answer}); });
+        loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
         return;
     }
-    deliver(callback, [this, to, task, number, token]() -> tl::expected<order_answer, order_errc> {
+    deliver(done, [this, to, task, number, token]() -> tl::expected<order_answer, order_errc> {
         target* t = find(to);
         if (t == nullptr)
             return tl::unexpected{order_errc::no_answer};
@@ -165,13 +165,13 @@
 }
 
 void fake_fleet::observe(const target_ref& to, const lease_request& request,
-                         const target_orders::report_callback& callback)
+                         const target_orders::report_callback& done)
 {
     if (find(to) == nullptr) {
-        loop_.after(call_timeout, [callback] { callback(tl::unexpected{order_errc::no_answer}); });
+        loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
         return;
     }
-    deliver(callback, [this, to, request]() -> tl::expected<target_report, order_errc> {
+    deliver(done, [this, to, request]() -> tl::expected<target_report, order_errc> {
         target* t = find(to);
         if (t == nullptr)
             return tl::unexpected{order_errc::no_answer};
@@ -186,7 +186,7 @@
             if (e.sequence > request.ends_noted)
                 return false;
             if (e.how == run_end::done && e.sequence > t->stale_ends)
-                done.insert(e.task);
+                done_tasks.insert(e.task);
             return true;
         });
         target_report report;
@@ -259,14 +259,13 @@
 }
 
 void fake_host_operations::report_wave(const maintenance_wave& wave, bool completed,
-                                       const std::string& record, fencing_token /*token*/,
-                                       done_callback callback)
+                                       const std::string& record, fencing_token /*token*/, done_callback done)
 {
-    loop_.after(std::chrono::milliseconds{5}, [this, name = wave.name, completed, record, callback] {
+    loop_.after(std::chrono::milliseconds{5}, [this, name = wave.name, completed, record, done] {
         reported[name] = completed;
         if (store != nullptr)
             store->put(std::string{job_keys::waves} + name, record);
-        callback({});
+        done({});
     });
 }
 
--- a/src/plugins/jobs/tests/fakes/fake_targets.h
+++ b/src/plugins/jobs/tests/fakes/fake_targets.h
@@ -66,7 +66,7 @@
     [[nodiscard]] std::size_t running(const job_id& id) const;
 
     std::vector<std::string> violations;
-    std::set<task_key> done; ///< Tasks that have ended as done.
+    std::set<task_key> done_tasks;
     std::map<std::string, int> maintained;
     std::size_t starts = 0;
 
--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -192,7 +192,7 @@
         CHECK(f.completed(id));
     CHECK(f.fleet.violations.empty());
     // Each task ran once: a change of leader cuts no work.
-    CHECK(f.fleet.starts == 8 * 5);
+    CHECK(f.fleet.starts == std::size_t{8} * 5);
 }
 
 // Guards against a wave that ends with its leader (12 of 21 hosts were left on a standard day).
@@ -288,7 +288,9 @@
                 f.fleet.restart(h.id);
         }
         f.run_for(60s);
-        CHECK(f.fleet.violations == std::vector<std::string>{});
+        for (const std::string& violation : f.fleet.violations)
+            UNSCOPED_INFO(violation);
+        CHECK(f.fleet.violations.empty());
         for (const std::string& id : f.accepted) {
             CAPTURE(id);
             CHECK(f.completed(id));
