Read the answers to starts and stops in one place; keep a step's tasks on one rack

Cause: the read-through found the same handling of answers twice, a comment that did not belong to its constant, members that nothing reads, and rack-sensitive steps whose preferred rack was never set. Change: take_answer, rack_of_step; unused members are removed.

--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -119,7 +119,6 @@
     timestamp next_plan_;
     bool listing_ = false;
     bool listed_ = false;
-    bool hosts_fresh_ = false; ///< No order was sent since the list was read.
 };
 
 } // namespace mjm
--- a/src/plugins/jobs/job.cpp
+++ b/src/plugins/jobs/job.cpp
@@ -10,8 +10,6 @@
         offsets_.push_back(per_occurrence_);
         per_occurrence_ += s.tasks;
         permanent_ = permanent_ || s.permanent;
-        work_ += static_cast<double>(s.tasks) * static_cast<double>(s.need.milli_cpu) / 1000.0 *
-                 std::chrono::duration<double>(s.estimate).count();
     }
     tasks_.resize(per_occurrence_ * record_.spec.occurrences);
     open_ = tasks_.size();
--- a/src/plugins/jobs/job.h
+++ b/src/plugins/jobs/job.h
@@ -108,8 +108,6 @@
     [[nodiscard]] duration chain() const { return chain_; }
     /// Longest chain through the steps that are not done.
     [[nodiscard]] duration remaining_chain() const;
-    /// Declared core-seconds of all tasks of one occurrence.
-    [[nodiscard]] double work_core_seconds() const { return work_; }
     /// Declared core-seconds of the tasks that are not done.
     [[nodiscard]] double open_work_core_seconds() const;
     [[nodiscard]] bool permanent() const { return permanent_; }
@@ -131,7 +129,6 @@
     std::size_t per_occurrence_ = 0;
     std::size_t open_ = 0;
     duration chain_{0};
-    double work_ = 0.0;
     job_state state_ = job_state::pending;
     bool started_ = false;
     bool cancelled_ = false;
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -169,7 +169,7 @@
                    timestamp sent_at, scheduler_time time);
 
     // Observation.
-    /// Targets whose observation is due; the caller sends `lease_request_for` each.
+    /// Targets whose observation is due; the caller sends what `begin_observation` returns.
     [[nodiscard]] std::vector<target_id> due_observations(timestamp now) const;
     [[nodiscard]] lease_request begin_observation(const target_id& target, timestamp now);
     [[nodiscard]] target_ref ref_of(const target_id& target) const;
@@ -221,12 +221,17 @@
                   scheduler_time time);
     void plan_all_services();
     void plan_task(open_job& open, const task_position& p, target_status& t, scheduler_time time);
+    /// Rack of the tasks of a rack-sensitive step that run already; empty for none.
+    [[nodiscard]] std::string rack_of_step(const open_job& open, std::uint32_t step) const;
     [[nodiscard]] bool within_cap(const open_job& open, const step_spec& step) const;
     void order_start(open_job& open, const task_position& p, scheduler_time time);
     /// Latest end, on this host's clock, of a target's lease that was granted at `granted_at`.
     [[nodiscard]] timestamp lease_end(timestamp granted_at) const;
 
     // scheduler_reports.cpp
+    /// What the answer to any order tells; the run that it was about, or null when that is over.
+    task_run* take_answer(const target_id& target, const task_key& key, run_number run,
+                          const tl::expected<order_answer, order_errc>& answer, scheduler_time time);
     void on_end(target_status& t, const listed_end& end, scheduler_time time);
     void on_failed_run(target_status& t, open_job& open, const task_position& p, scheduler_time time);
     void compare_runs(target_status& t, const target_report& report, timestamp sent_at, scheduler_time time);
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -84,7 +84,8 @@
                     continue;
                 if (!within_cap(open, step))
                     break;
-                const placement_request request{&step, &open.step_runs[s], t.failed_on, {}};
+                const placement_request request{&step, &open.step_runs[s], t.failed_on,
+                                                rack_of_step(open, s)};
                 target_status* target = choose_target(request, pool, time.now);
                 if (target == nullptr)
                     break;
@@ -94,6 +95,14 @@
     }
 }
 
+std::string job_scheduler::rack_of_step(const open_job& open, std::uint32_t step) const
+{
+    if (!open.state->step(step).rack_sensitive || open.step_runs[step].empty())
+        return {};
+    const auto target = targets_.find(open.step_runs[step].begin()->first);
+    return target == targets_.end() ? std::string{} : target->second.info.rack.str();
+}
+
 bool job_scheduler::within_cap(const open_job& open, const step_spec& step) const
 {
     const team_id& team = open.state->record().team;
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// A report may be as early as the answer that confirmed a start, on another connection.
+// 64 times the first wait: about 3 s, less than callers wait for a job that can still succeed.
 constexpr std::size_t max_backoff_doublings = 6;
 
 std::int64_t age_ms(timestamp now, timestamp since)
@@ -23,36 +23,55 @@
     t.clock_at = now;
 }
 
-void job_scheduler::on_start_answer(const target_id& target, const task_key& key, run_number run,
-                                    const tl::expected<order_answer, order_errc>& answer, scheduler_time time)
+task_run* job_scheduler::take_answer(const target_id& target, const task_key& key, run_number run,
+                                     const tl::expected<order_answer, order_errc>& answer,
+                                     scheduler_time time)
 {
     target_status* t = find_target(target);
     if (answer && t != nullptr)
         set_clock(*t, answer->clock_ms, time.now);
     if (!answer && answer.error() == order_errc::fenced)
         superseded_ = true;
+    if (!answer && answer.error() == order_errc::other_instance && t != nullptr) {
+        unlist_target(target, time);
+        t->reachable = false;
+        void_runs_of_target(*t, "another target has the address", time);
+    }
     open_job* open = find_open(key.job);
     if (open == nullptr || !open->state->contains(key.position))
-        return;
+        return nullptr;
     task& it = open->state->at(key.position);
     if (!it.run || it.run->number != run || it.run->target != target)
-        return;
+        return nullptr;
     it.run->order_out = false;
     if (answer) {
         it.run->answered_at = time.now;
-        it.run->started_at = time.now;
-        open->state->mark_started();
-        if (it.run->phase == run_phase::ordered)
-            it.run->phase = run_phase::running;
         if (t != nullptr && !t->observing)
             t->next_observation = std::min(t->next_observation, time.now);
+    }
+    return &*it.run;
+}
+
+void job_scheduler::on_start_answer(const target_id& target, const task_key& key, run_number run,
+                                    const tl::expected<order_answer, order_errc>& answer, scheduler_time time)
+{
+    task_run* ordered = take_answer(target, key, run, answer, time);
+    if (ordered == nullptr)
+        return;
+    open_job& open = jobs_.at(key.job);
+    if (answer) {
+        ordered->started_at = time.now;
+        open.state->mark_started();
+        if (ordered->phase == run_phase::ordered)
+            ordered->phase = run_phase::running;
         return;
     }
+    target_status* t = find_target(target);
     const order_errc ec = answer.error();
     switch (ec) {
     case order_errc::no_answer:
-        if (it.run->phase == run_phase::ordered)
-            it.run->phase = run_phase::unconfirmed;
+        if (ordered->phase == run_phase::ordered)
+            ordered->phase = run_phase::unconfirmed;
         if (t != nullptr && !t->observing)
             t->next_observation = time.now;
         return;
@@ -69,44 +88,17 @@
             t->next_observation = std::min(t->next_observation, time.now);
         }
         break;
-    case order_errc::other_instance:
-        if (t != nullptr) {
-            unlist_target(target, time);
-            t->reachable = false;
-            void_runs_of_target(*t, "another target has the address", time);
-        }
-        break;
     default:
         break;
     }
-    void_run(*open, key.position, name_of(ec).data(), time);
+    void_run(open, key.position, name_of(ec).data(), time);
 }
 
 void job_scheduler::on_stop_answer(const target_id& target, const task_key& key, run_number run,
                                    const tl::expected<order_answer, order_errc>& answer, scheduler_time time)
 {
-    target_status* t = find_target(target);
-    if (answer && t != nullptr)
-        set_clock(*t, answer->clock_ms, time.now);
-    if (!answer && answer.error() == order_errc::fenced)
-        superseded_ = true;
-    if (!answer && answer.error() == order_errc::other_instance && t != nullptr) {
-        unlist_target(target, time);
-        t->reachable = false;
-        void_runs_of_target(*t, "another target has the address", time);
-    }
-    open_job* open = find_open(key.job);
-    if (open == nullptr || !open->state->contains(key.position))
-        return;
-    task& it = open->state->at(key.position);
-    if (!it.run || it.run->number != run || it.run->target != target)
-        return;
-    it.run->order_out = false;
-    if (answer) {
-        it.run->answered_at = time.now;
-        if (t != nullptr && !t->observing)
-            t->next_observation = std::min(t->next_observation, time.now);
-    }
+    // What became of the run is read from the target's next report.
+    static_cast<void>(take_answer(target, key, run, answer, time));
 }
 
 std::vector<target_id> job_scheduler::due_observations(timestamp now) const
