Keep a test's result alive for its late callback

Cause: the address sanitizer found a callback of tst_job_front that wrote to a result on the stack of a call that had returned. Change: the result is shared with the callback.

--- a/src/plugins/jobs/tests/tst_job_front.cpp
+++ b/src/plugins/jobs/tests/tst_job_front.cpp
@@ -50,11 +50,13 @@
     }
     tl::expected<void, front_errc> submit(const std::string& id, duration wait = 5s)
     {
-        tl::expected<void, front_errc> result{tl::unexpected{front_errc::no_config}};
+        // Shared with the callback, which may come after this call.
+        const std::shared_ptr<tl::expected<void, front_errc>> result =
+            std::make_shared<tl::expected<void, front_errc>>(tl::unexpected{front_errc::no_config});
         front.submit({"h.example", "/q/" + id, "key"}, spec(),
-                     [&result](const tl::expected<void, front_errc>& r) { result = r; });
+                     [result](const tl::expected<void, front_errc>& r) { *result = r; });
         loop.run_for(wait);
-        return result;
+        return *result;
     }
     tl::expected<job_state, front_errc> state(const std::string& id)
     {
