--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -33,8 +33,16 @@
                     else
                         services_.log.warn("store_lost",
                                            {{"user", "journal"}, {"error", name_of(contact.error())}});
-                }}}
+                }}},
+      first_start_seconds_{services_.metrics.histogram(
+          "mjm_first_start_seconds",
+          "Time from the acceptance of a job to the choice of a target for a task's first run.",
+          {0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0})}
 {
+    for (const auto& [event, name] : enum_names<scheduler_event>::entries)
+        event_counters_.emplace(event, services_.metrics.counter("mjm_scheduler_events_total",
+                                                                 "The leader's decisions and observations.",
+                                                                 {{"event", std::string{name}}}));
     if (services_.hosts != nullptr) {
         hosts_ = std::make_unique<host_manager>(settings_.hosts, scheduler_, *services_.hosts, services_.time,
                                                 services_.log, token_, std::move(certain));
@@ -372,21 +380,14 @@
 
 void job_leader::count_note(const scheduler_note& n)
 {
-    services_.metrics
-        .counter("mjm_scheduler_events_total", "The leader's decisions and observations.",
-                 {{"event", std::string{name_of(n.event)}}})
-        .add();
+    event_counters_.at(n.event).add();
     if (n.event == scheduler_event::job_finished)
         services_.metrics
             .histogram("mjm_job_seconds", "Time from the acceptance of a job to its end.",
                        {0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0}, {{"state", n.reason}})
             .observe(static_cast<double>(n.age_ms) / 1000.0);
     if (n.event == scheduler_event::run_planned && n.run == 1)
-        services_.metrics
-            .histogram("mjm_first_start_seconds",
-                       "Time from the acceptance of a job to the choice of a target for a task's first run.",
-                       {0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0})
-            .observe(static_cast<double>(n.age_ms) / 1000.0);
+        first_start_seconds_.observe(static_cast<double>(n.age_ms) / 1000.0);
 }
 
 void job_leader::count_answer(const char* order, const tl::expected<order_answer, order_errc>& answer)
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -90,6 +90,8 @@
     std::unique_ptr<host_manager> hosts_; ///< Null where hosts can't be moved or maintained.
     std::unique_ptr<prefix_watch> inbox_;
     std::map<job_id, std::string> stored_progress_; ///< Read while taking over, until the jobs are known.
+    std::map<scheduler_event, metric_counter> event_counters_; ///< Looked up once; notes are frequent.
+    metric_histogram first_start_seconds_;
     std::map<job_id, timestamp> finished_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     timestamp next_forget_;
