Use one listener and one network service in both entry programs

Cause: platform/ had a listener of its own beside that of mjm_entry, and held the network thread outside the kernel.

--- a/src/tools/mjm_entry/listener_service.cpp
+++ b/src/libs/listening/listener_service.cpp
@@ -1,7 +1,7 @@
-#include "listener_service.h"
+#include "listening/listener_service.h"
 
-#include "io_service.h"
 #include "kernel/kernel.h"
+#include "listening/io_service.h"
 
 namespace mjm {
 
--- a/src/tools/mjm_entry/decision_service.cpp
+++ b/src/tools/mjm_entry/decision_service.cpp
@@ -1,8 +1,8 @@
 #include "decision_service.h"
 
 #include "core/invariant.h"
-#include "io_service.h"
 #include "kernel/kernel.h"
+#include "listening/io_service.h"
 #include "platform/error_body.h"
 
 #include <nlohmann/json.hpp>
--- a/src/tools/mjm_entry/entry_program.cpp
+++ b/src/tools/mjm_entry/entry_program.cpp
@@ -2,11 +2,11 @@
 
 #include "core/invariant.h"
 #include "decision_service.h"
-#include "io_service.h"
 #include "kernel/kernel.h"
 #include "kernel/program_options.h"
 #include "kernel/signal_drain.h"
-#include "listener_service.h"
+#include "listening/io_service.h"
+#include "listening/listener_service.h"
 #include "logging/log_sink.h"
 
 #include <condition_variable>
