Share the handling of header text between HTTP client and server

Cause: lower-casing of names and the guard against line breaks in headers stood in both files. Change: net/header_text holds both. Behaviour is unchanged.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include "net/header_text.h"
 #include "net/io_runtime.h"
 #include "net/url.h"
 
@@ -14,7 +15,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <deque>
 #include <map>
 #include <optional>
@@ -35,27 +35,13 @@
 
 constexpr std::size_t max_response_header = 64 << 10;
 
-bool has_line_break(std::string_view text)
-{
-    return text.find_first_of("\r\n") != std::string_view::npos;
-}
-
-std::string lower(std::string_view text)
-{
-    std::string out{text};
-    std::transform(out.begin(), out.end(), out.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return out;
-}
-
 std::string format_head(const http_endpoint& endpoint, const http_request& request)
 {
     std::string out = request.method + " " + format_url_target(request.path, request.query) +
                       " HTTP/1.1\r\nhost: " + endpoint.address + ":" + std::to_string(endpoint.port) +
                       "\r\ncontent-length: " + std::to_string(request.body.size()) + "\r\n";
     for (const auto& [name, value] : request.headers) {
-        if (!has_line_break(name) && !has_line_break(value))
-            out.append(name).append(": ").append(value).append("\r\n");
+        append_header(out, name, value);
     }
     return out + "\r\n";
 }
@@ -300,7 +286,7 @@
             if (field.name() == http::field::content_type)
                 response.content_type = value;
             else
-                response.headers.emplace_back(lower(field.name_string()), value);
+                response.headers.emplace_back(lower_case(field.name_string()), value);
         }
         response.body = std::move(message.body());
         complete(std::move(response), keep);
--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include "net/header_text.h"
 #include "net/io_runtime.h"
 #include "net/url.h"
 
@@ -16,7 +17,6 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
-#include <cctype>
 #include <deque>
 #include <exception>
 #include <mutex>
@@ -68,19 +68,6 @@
     return {400, "malformed_request", "the request is not valid HTTP/1.1"};
 }
 
-bool has_line_break(std::string_view text)
-{
-    return text.find_first_of("\r\n") != std::string_view::npos;
-}
-
-std::string lower(std::string_view text)
-{
-    std::string out{text};
-    std::transform(out.begin(), out.end(), out.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return out;
-}
-
 /// Place of one answer in the order of a connection.
 struct answer_slot {
     bool interim = false; ///< `100 Continue`.
@@ -253,7 +240,7 @@
             fail({501, "unsupported_transfer_encoding", "only chunked transfer encoding is supported"});
             return;
         }
-        if (lower(head[http::field::expect]) == "100-continue" && !parser_->is_done()) {
+        if (lower_case(head[http::field::expect]) == "100-continue" && !parser_->is_done()) {
             const std::shared_ptr<answer_slot> slot = std::make_shared<answer_slot>();
             slot->interim = true;
             slot->ready = true;
@@ -328,7 +315,7 @@
         request.path = target->path;
         request.query = target->query;
         for (const auto& field : message) {
-            std::string& value = request.headers[lower(field.name_string())];
+            std::string& value = request.headers[lower_case(field.name_string())];
             if (!value.empty())
                 value += ", ";
             value += std::string_view{field.value().data(), field.value().size()};
@@ -374,8 +361,7 @@
             out += "content-length: " + std::to_string(r.body.size()) + "\r\n";
         }
         for (const auto& [name, value] : r.headers) {
-            if (!has_line_break(name) && !has_line_break(value))
-                out.append(name).append(": ").append(value).append("\r\n");
+            append_header(out, name, value);
         }
         if (slot.close)
             out += "connection: close\r\n";
