Share the fakes and the frame of the program tests

Cause: the unreachable leader stood in two test files, and the frame of the checks of settings in two scripts. Change: fakes/no_leader.h and cmake/program_checks.sh; all assertions stay.

--- a/src/plugins/jobs/tests/tst_job_front.cpp
+++ b/src/plugins/jobs/tests/tst_job_front.cpp
@@ -1,6 +1,7 @@
 #include "fake_transaction_store.h"
 #include "jobs/job_front.h"
 #include "jobs/job_keys.h"
+#include "no_leader.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,19 +10,6 @@
 
 namespace {
 
-/// A leader that nobody reaches.
-class no_leader final : public leader_link {
-public:
-    void state_of(const job_id& /*id*/, state_callback done) override
-    {
-        done(tl::unexpected{front_errc::leader_unavailable});
-    }
-    void waiting_jobs(const queue_id& /*queue*/, count_callback done) override
-    {
-        done(tl::unexpected{front_errc::leader_unavailable});
-    }
-};
-
 struct front_fixture {
     virtual_loop loop;
     fake_transaction_store store{loop};
--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -2,6 +2,7 @@
 #include "fake_transaction_store.h"
 #include "jobs/job_keys.h"
 #include "jobs/job_node.h"
+#include "no_leader.h"
 
 #include <catch2/catch.hpp>
 
@@ -42,19 +43,6 @@
     [[nodiscard]] fake_host_operations& operations() { return operations_; }
 
 private:
-    /// State is read from the store here.
-    class no_leader final : public leader_link {
-    public:
-        void state_of(const job_id& /*id*/, state_callback done) override
-        {
-            done(tl::unexpected{front_errc::leader_unavailable});
-        }
-        void waiting_jobs(const queue_id& /*queue*/, count_callback done) override
-        {
-            done(tl::unexpected{front_errc::leader_unavailable});
-        }
-    };
-
     virtual_loop& loop_;
     fake_fleet_orders orders_;
     fake_directory directory_;
--- a/src/tools/mjm_entry/tests/tst_program.sh
+++ b/src/tools/mjm_entry/tests/tst_program.sh
@@ -5,23 +5,13 @@
 set -u
 program=$1
 page=$2
-failures=0
-expect() { # expect NAME WANTED FOUND
-    if [ "$2" != "$3" ]; then
-        echo "FAILED: $1: wanted '$2', found '$3'"
-        failures=$((failures + 1))
-    fi
-}
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 
-"$program" --settings-table >"$dir/table"
-grep '^|' "$page" >"$dir/page"
-grep '^|' "$dir/table" >"$dir/rows"
-cmp -s "$dir/rows" "$dir/page"
-expect "settings page matches the program" 0 $?
+# shellcheck source=/dev/null
+. "$(dirname "$0")/../../../../cmake/program_checks.sh"
+expect_settings_page
 
-check() { "$program" --settings "$1" --check-settings >"$dir/out" 2>&1; echo $?; }
 good='"host":"h1","zone":"z1","caller_port":1001,"peer_port":1002,"admin_port":1003,"store_port":1004'
 echo "{$good}" >"$dir/good.json"
 expect "valid settings" 0 "$(check "$dir/good.json")"
