Show a final state only once the store has it

Cause: the leader answered callers from memory. A leader that had lost the store told callers that a job was completed; its targets then crashed, the ends were gone, and the next leader ran the tasks again.

Ruled out: ends noted at targets without being stored.

--- a/src/plugins/jobs/job.cpp
+++ b/src/plugins/jobs/job.cpp
@@ -82,6 +82,17 @@
         state_ = job_state::running;
 }
 
+job_state job::shown_state() const
+{
+    // A cancellation is stored when it is accepted, whatever becomes of the runs.
+    if (cancelled_ && (!is_final(state_) || state_ == job_state::cancelled))
+        return job_state::cancelled;
+    const bool unstored_end = is_final(state_) && stored < final_change;
+    if (unstored_end || (state_ == job_state::pending && started_))
+        return job_state::running;
+    return state_;
+}
+
 std::size_t job::active_runs() const
 {
     return static_cast<std::size_t>(
--- a/src/plugins/jobs/job.h
+++ b/src/plugins/jobs/job.h
@@ -110,8 +110,13 @@
     [[nodiscard]] double open_work_core_seconds() const;
     [[nodiscard]] bool permanent() const { return permanent_; }
 
-    std::uint64_t change = 0; ///< Counts changes that the store has to learn.
-    std::uint64_t stored = 0; ///< The last change that the store has.
+    /// State that callers may be told. A final state counts only once the store has it: until then a next
+    /// leader would run the job's last tasks again.
+    [[nodiscard]] job_state shown_state() const;
+
+    std::uint64_t change = 0;       ///< Counts changes that the store has to learn.
+    std::uint64_t stored = 0;       ///< The last change that the store has.
+    std::uint64_t final_change = 0; ///< The change that brought the final state.
 
 private:
     [[nodiscard]] std::size_t index_of(const task_position& p) const
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -364,11 +364,7 @@
     const job* j = scheduler_.find_job(id);
     if (j == nullptr)
         return tl::unexpected{leader_errc::unknown_job};
-    if (j->cancelled() && !is_final(j->state()))
-        return job_state::cancelled;
-    if (j->state() == job_state::pending && j->started())
-        return job_state::running;
-    return j->state();
+    return j->shown_state();
 }
 
 tl::expected<std::size_t, leader_errc> job_leader::waiting_jobs(const queue_id& queue) const
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -285,9 +285,11 @@
         if (is_final(j.state()))
             mark_changed(j);
     }
-    if (is_final(j.state()) && open_by_service_[open.service].erase(j.id()) > 0)
+    if (is_final(j.state()) && open_by_service_[open.service].erase(j.id()) > 0) {
+        j.final_change = j.change;
         note(scheduler_event::job_finished, j.id(), nullptr, 0, {}, std::string{name_of(j.state())},
              time.unix_ms - j.record().accepted_ms);
+    }
 }
 
 void job_scheduler::stop_run(open_job& open, const task_position& p, const char* reason, timestamp now)
--- a/src/plugins/jobs/tests/fakes/fake_targets.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_targets.cpp
@@ -88,6 +88,8 @@
     ++starts;
     if (done_tasks.contains(order.task))
         violations.push_back("started after its end: " + to_string(order.task));
+    if (shown_completed.contains(order.task.job))
+        violations.push_back("started after its job was shown as completed: " + to_string(order.task));
     for (const auto& [host, other] : hosts_) {
         if (other.up && other.running.contains(order.task) && &other != &t)
             violations.push_back("two runs at a time: " + to_string(order.task));
--- a/src/plugins/jobs/tests/fakes/fake_targets.h
+++ b/src/plugins/jobs/tests/fakes/fake_targets.h
@@ -67,6 +67,8 @@
 
     std::vector<std::string> violations;
     std::set<task_key> done_tasks;
+    std::set<job_id>
+        shown_completed; ///< Jobs that callers were told to be completed; none of their tasks may start.
     std::map<std::string, int> maintained;
     std::size_t starts = 0;
 
--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -91,9 +91,20 @@
             for (const std::unique_ptr<entry_host>& h : hosts) {
                 if (h->node)
                     h->node->tick();
+                if (h->node && h->node->leader() != nullptr)
+                    ask_states(*h->node->leader());
             }
         });
     }
+    /// Asks for all accepted jobs, as their callers may do at any moment.
+    void ask_states(const job_leader& leader)
+    {
+        for (const std::string& id : accepted) {
+            const tl::expected<job_state, leader_errc> state = leader.state_of(job_id{id});
+            if (state && *state == job_state::completed)
+                fleet.shown_completed.insert(job_id{id});
+        }
+    }
     void submit(const std::string& id, std::uint32_t tasks, bool permanent = false)
     {
         job_spec spec;
@@ -183,6 +194,31 @@
     CHECK(f.fleet.starts == std::size_t{8} * 5);
 }
 
+// Guards against a completion that a caller was told of and that the next leader does not know: it was shown
+// from the memory of a leader that had lost the store, whose targets then crashed (found by a hunted day,
+// rule TWICE).
+TEST_CASE("a job is shown as completed only when the store has its end")
+{
+    fleet_run f{3};
+    f.fleet.run_time = [](const task_key&) { return duration{600ms}; };
+    f.run_for(1s);
+    f.submit("j", 2);
+    f.run_for(900ms);
+    REQUIRE(f.accepted.size() == 1);
+    entry_host* first = f.leader();
+    REQUIRE(first != nullptr);
+    first->link.reachable = false; // The last step runs, and ends before another host can lead.
+    f.run_for(800ms);
+    for (const host_info& h : f.fleet.hosts())
+        f.fleet.crash(h.id);
+    f.run_for(1s);
+    for (const host_info& h : f.fleet.hosts())
+        f.fleet.restart(h.id);
+    f.run_for(15s);
+    CHECK(f.completed("j"));
+    CHECK(f.fleet.violations.empty());
+}
+
 // Guards against a wave that ends with its leader (12 of 21 hosts were left on a standard day).
 TEST_CASE("a wave goes on under the next leader and maintains each host once")
 {
