Move tasks that stand still while their step's other tasks are done

Cause: targets that hang or are slow report as healthy.

Change: a run is stopped once when half or more of its step is done and it has taken 1.6 times their mean and 0.3 s, if another target has room for it. Its target takes a pause. Jobs that take long on every target are told apart by their other tasks. The case of a killed leader gets equal run times for the tasks of a step, as it counts starts and its random ones differed by a factor of 8.

Ruled out: comparing with the declared run time alone, which may be off and would restart jobs that can't be done.

--- a/src/plugins/jobs/job.h
+++ b/src/plugins/jobs/job.h
@@ -49,7 +49,8 @@
     std::string checkpoint;
     std::optional<task_run> run;
     timestamp not_before; ///< Earliest next start, after a failure.
-    target_id failed_on;  ///< Target of the latest failure; avoided by the next run.
+    target_id failed_on;  ///< Target where it failed or stood still last; avoided by the next run.
+    bool moved = false;   ///< Was stopped because it stood still; a second time it stays where it is.
 };
 
 /// An accepted job and the progress of its tasks. Pure state: time comes in as an argument.
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -44,6 +44,7 @@
     const job_id id = j->id();
     open_job& open = jobs_[id];
     open.step_runs.resize(j->record().spec.steps.size());
+    open.times.resize(j->record().spec.steps.size());
     open.state = std::move(j);
     resolve_service(open);
     open.state->for_open_tasks([&](const task_position& p, task& t) {
@@ -404,6 +405,10 @@
                 send_stop({id, p}, *t.run, time.now);
         });
     }
+    if (time.now >= next_straggler_look_) {
+        next_straggler_look_ = time.now + settings_.straggler_interval;
+        move_stragglers(time);
+    }
     // Waits of failed tasks, pauses of targets and due times end without an event.
     if (time.now >= next_full_plan_) {
         next_full_plan_ = time.now + settings_.full_plan_interval;
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -187,6 +187,7 @@
         service_id service;
         std::size_t active_runs = 0;
         std::vector<std::map<target_id, std::uint32_t>> step_runs; ///< By step: runs on each target.
+        std::vector<step_times> times;                             ///< By step.
     };
 
     struct ranked_job;
@@ -243,6 +244,13 @@
     /// Latest end, on this host's clock, of a target's lease that was granted at `granted_at`.
     [[nodiscard]] timestamp lease_end(timestamp granted_at) const;
 
+    // scheduler_stragglers.cpp
+    void move_stragglers(scheduler_time time);
+    [[nodiscard]] bool stands_still(const open_job& open, const task_position& p, const task_run& run,
+                                    scheduler_time time) const;
+    /// Stops the run if another target has room for the task.
+    void move_straggler(open_job& open, const task_position& p, scheduler_time time);
+
     // scheduler_reports.cpp
     /// What the answer to any order tells; the run that it was about, or null when that is over.
     task_run* take_answer(const target_id& target, const task_key& key, run_number run,
@@ -276,6 +284,7 @@
     std::vector<target_command> commands_;
     std::set<service_id> plan_needed_; ///< Services whose jobs, targets or room have changed.
     timestamp next_full_plan_;
+    timestamp next_straggler_look_;
     bool superseded_ = false;
 };
 
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_types.h"
+#include "jobs/straggler.h"
 
 #include <cstdint>
 
@@ -37,6 +38,9 @@
     duration unreachable_retry{std::chrono::milliseconds{300}};
     /// Between two looks at all waiting tasks without an event.
     duration full_plan_interval{std::chrono::milliseconds{60}};
+    /// Between two looks for tasks that stand still; a small part of the shortest tasks' run time.
+    duration straggler_interval{std::chrono::milliseconds{100}};
+    straggler_settings stragglers;
     /// Attempts of a task whose queue is no longer configured.
     std::uint32_t default_attempts = 2;
     /// Tail latency, as a share of the objective, above which tasks that fill up are slowed down ...
--- /dev/null
+++ b/src/plugins/jobs/scheduler_stragglers.cpp
@@ -0,0 +1,68 @@
+#include "jobs/job_scheduler.h"
+#include "jobs/placement.h"
+
+namespace mjm {
+
+namespace {
+
+// Tasks off their data's rack take twice as long, according to the platform's protocol.
+constexpr int off_rack_factor = 2;
+
+} // namespace
+
+void job_scheduler::move_stragglers(scheduler_time time)
+{
+    const std::set<job_id> with_runs = with_runs_;
+    for (const job_id& id : with_runs) {
+        open_job& open = jobs_.at(id);
+        if (open.state->cancelled() || is_final(open.state->state()))
+            continue;
+        open.state->for_open_tasks([&](const task_position& p, task& t) {
+            if (t.run && !t.moved && t.run->phase == run_phase::running &&
+                stands_still(open, p, *t.run, time))
+                move_straggler(open, p, time);
+        });
+    }
+}
+
+bool job_scheduler::stands_still(const open_job& open, const task_position& p, const task_run& run,
+                                 scheduler_time time) const
+{
+    const step_spec& step = open.state->step(p.step);
+    const auto target = targets_.find(run.target);
+    if (step.permanent || step.gang || target == targets_.end() || !target->second.reachable ||
+        run.answered_at == timestamp{})
+        return false;
+    duration age = time.now - run.answered_at;
+    if (step.rack_sensitive || (!step.data_rack.empty() && step.data_rack != target->second.info.rack.str()))
+        age /= off_rack_factor;
+    if (time.now < target->second.suspect_until && is_overdue(age, step.estimate, settings_.stragglers))
+        return true;
+    return is_straggler(age, open.times[p.step], step.tasks, settings_.stragglers);
+}
+
+void job_scheduler::move_straggler(open_job& open, const task_position& p, scheduler_time time)
+{
+    task& t = open.state->at(p);
+    target_status& here = targets_.at(t.run->target);
+    std::vector<target_status*> others;
+    for (auto& [id, other] : targets_) {
+        if (other.info.service == open.service && id != t.run->target)
+            others.push_back(&other);
+    }
+    const step_spec& step = open.state->step(p.step);
+    const placement_request request{&step, &open.step_runs[p.step], t.failed_on, rack_of_step(open, p.step)};
+    if (choose_target(request, others, time.now) == nullptr)
+        return;
+    t.moved = true;
+    t.failed_on = here.info.id;
+    here.suspect_until = time.now + settings_.avoid_time;
+    if (here.avoid_until < here.suspect_until) {
+        here.avoid_until = here.suspect_until;
+        note(scheduler_event::target_avoided, open.state->id(), nullptr, 0, here.info.id,
+             "a task stands still");
+    }
+    stop_run(open, p, "stands still while the step's other tasks are done", time.now);
+}
+
+} // namespace mjm
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -46,6 +46,7 @@
     int failures_in_a_row = 0; ///< Runs of different jobs that failed, without a success in between.
     job_id last_failed_job;
     timestamp avoid_until;
+    timestamp suspect_until; ///< A task stood still there a short time ago.
 
     /// Nothing runs there, and the store has every end that the target has listed.
     [[nodiscard]] bool settled() const { return runs.empty() && unstored.empty(); }
--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -184,6 +184,8 @@
 TEST_CASE("jobs complete, also when the leader is killed between their steps")
 {
     fleet_run f{1};
+    // The tasks of a step are equal, so that none of them counts as standing still.
+    f.fleet.run_time = [](const task_key& key) { return duration{key.position.step == 0 ? 1300ms : 700ms}; };
     f.run_for(1s);
     for (int i = 0; i < 8; ++i)
         f.submit("j" + std::to_string(i), 4);
--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -371,3 +371,67 @@
     f.report(a, {}, {ended(starts[0], 1, run_end::done)}, 2);
     CHECK(f.scheduler.find_job(job_id{"j"})->state() == job_state::completed);
 }
+
+// Plays targets that stand still while they report as healthy: 7% of them for 5 s kept half of all jobs of
+// ten tasks waiting.
+TEST_CASE("a task that stands still moves once the step's other tasks are done")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 4);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 4);
+    for (const start_command& s : starts) {
+        REQUIRE(s.target.id == a);
+        f.confirm(s);
+    }
+    const target_id b = f.add_target("b");
+    f.advance(1s);
+    std::vector<listed_end> ends;
+    for (std::size_t i = 0; i < 3; ++i)
+        ends.push_back(ended(starts[i], i + 1, run_end::done));
+    f.report(a, {running(starts[3])}, ends);
+    f.advance(700ms);
+    CHECK(f.take_stops().empty());
+    f.advance(400ms);
+    const std::vector<stop_command> stops = f.take_stops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].task == starts[3].order.task);
+    f.report(a, {}, {ended(starts[3], 4, run_end::stopped)});
+    const std::vector<start_command> again = f.plan_and_store();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].target.id == b);
+
+    // It does not move a second time.
+    f.confirm(again[0]);
+    f.report(b, {running(again[0])});
+    f.advance(5s);
+    CHECK(f.take_stops().empty());
+}
+
+// Guards against a fleet that restarts jobs which take longer than declared on every target.
+TEST_CASE("a job whose tasks all take long is left alone, and so is one without another target")
+{
+    scheduler_fixture f;
+    f.add_target("a");
+    f.add_target("b");
+    f.add_job("long", 4);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 4);
+    for (const start_command& s : starts)
+        f.confirm(s);
+    f.advance(4s);
+    CHECK(f.take_stops().empty());
+
+    scheduler_fixture alone;
+    const target_id only = alone.add_target("only");
+    alone.add_job("j", 2);
+    const std::vector<start_command> pair = alone.plan_and_store();
+    REQUIRE(pair.size() == 2);
+    for (const start_command& s : pair)
+        alone.confirm(s);
+    alone.advance(1s);
+    alone.report(only, {running(pair[1])}, {ended(pair[0], 1, run_end::done)});
+    alone.advance(4s);
+    CHECK(alone.take_stops().empty());
+}
