Give up a stopped run with the first report after the stop's answer

Cause: a stop was repeated every 300 ms although it was answered, and each repetition cleared the time of the answer.

Change: a stop is repeated only without an answer, or when a later report still lists the run; observations do not wait for an end while a stopped run is open.

Both new cases fail without the change.

--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -401,7 +401,9 @@
                     void_run(open, p, "target unknown", time);
                 return;
             }
-            if (t.run->phase == run_phase::stopping && time.now - t.run->ordered_at > settings_.stop_retry)
+            // An answered stop waits for the next report, which shows what became of the run.
+            if (t.run->phase == run_phase::stopping && t.run->answered_at == timestamp{} &&
+                time.now - t.run->ordered_at > settings_.stop_retry)
                 send_stop({id, p}, *t.run, time.now);
         });
     }
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -258,6 +258,8 @@
     void on_end(target_status& t, const listed_end& end, scheduler_time time);
     void on_failed_run(target_status& t, open_job& open, const task_position& p, scheduler_time time);
     void compare_runs(target_status& t, const target_report& report, timestamp sent_at, scheduler_time time);
+    /// Whether a stop was answered, so that the next report tells what became of its run.
+    [[nodiscard]] bool has_stopped_run(const target_status& t) const;
     void on_missing_run(open_job& open, const task_position& p, timestamp sent_at, scheduler_time time);
     /// The target has been started again: it holds and lists nothing of before.
     void begin_life(target_status& t, target_birth born, scheduler_time time);
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -116,6 +116,17 @@
     return out;
 }
 
+bool job_scheduler::has_stopped_run(const target_status& t) const
+{
+    return std::any_of(t.runs.begin(), t.runs.end(), [this](const task_key& key) {
+        const auto open = jobs_.find(key.job);
+        if (open == jobs_.end())
+            return false;
+        const std::optional<task_run>& run = open->second.state->at(key.position).run;
+        return run && run->phase == run_phase::stopping && run->answered_at != timestamp{};
+    });
+}
+
 lease_request job_scheduler::begin_observation(const target_id& target, timestamp now)
 {
     target_status& t = targets_.at(target);
@@ -131,7 +142,8 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(settings_.target_lease).count();
         t.lease_until = std::max(t.lease_until, lease_end(now));
     }
-    if (t.synced && t.reachable && !t.runs.empty() && t.unstored.empty() && t.ordered_down_at == timestamp{})
+    if (t.synced && t.reachable && !t.runs.empty() && t.unstored.empty() &&
+        t.ordered_down_at == timestamp{} && !has_stopped_run(t))
         request.wait = settings_.observation_wait;
     return request;
 }
@@ -291,6 +303,9 @@
         if (!r.checkpoint.empty())
             it->checkpoint = r.checkpoint;
         it->run->at_work = r.pace_percent >= full_pace;
+        if (it->run->phase == run_phase::stopping && !it->run->order_out &&
+            it->run->answered_at != timestamp{} && sent_at - it->run->answered_at > settings_.stop_retry)
+            send_stop({open->state->id(), r.task.position}, *it->run, time.now);
         if (it->run->phase == run_phase::unconfirmed || it->run->phase == run_phase::ordered) {
             it->run->phase = run_phase::running;
             it->run->answered_at = sent_at;
--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -98,6 +98,58 @@
     CHECK(again[0].order.run == 2);
 }
 
+// Guards against a task that is never started again: observations that wait a second for an end never came
+// between two stops, which were repeated every 300 ms although the first was answered (rule LOST on a grown
+// deployment).
+TEST_CASE("a stopped run that the target never had is given up by the next report")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    f.scheduler.on_start_answer(a, starts[0].order.task, 1, tl::unexpected{order_errc::no_answer}, f.now());
+    f.advance(50ms);
+    f.report(a, {});
+    REQUIRE(f.take_stops().size() == 1);
+    f.scheduler.on_stop_answer(a, starts[0].order.task, 1, order_answer{5000}, f.now());
+    f.advance(1ms);
+    const timestamp sent_at = f.now().now;
+    CHECK(f.scheduler.begin_observation(a, sent_at).wait == 0ms);
+    f.advance(500ms);
+    f.advance(500ms);
+    CHECK(f.take_stops().empty());
+    target_report r;
+    r.clock_ms = 5000;
+    r.born = 1;
+    f.scheduler.on_report(a, r, sent_at, f.now());
+    const std::vector<start_command> again = f.plan_and_store();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].order.run == 2);
+}
+
+// Guards against a stop that was answered and has no effect.
+TEST_CASE("a stop is repeated while it is unanswered, and while the target still lists the run")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    f.confirm(starts[0]);
+    f.scheduler.cancel_job(job_id{"j"}, f.now());
+    REQUIRE(f.take_stops().size() == 1);
+    f.scheduler.on_stop_answer(a, starts[0].order.task, 1, tl::unexpected{order_errc::no_answer}, f.now());
+    f.advance(400ms);
+    REQUIRE(f.take_stops().size() == 1);
+    f.scheduler.on_stop_answer(a, starts[0].order.task, 1, order_answer{5000}, f.now());
+    f.advance(400ms);
+    CHECK(f.take_stops().empty());
+    f.report(a, {running(starts[0])});
+    f.advance(1ms);
+    CHECK(f.take_stops().size() == 1);
+}
+
 // Guards against loss of work that a lost answer did not prevent.
 TEST_CASE("a start without an answer that the target lists goes on")
 {
