Spare searches for room that can't succeed

For each of some 700 waiting jobs the plan searched all targets of the pool, although the first one had shown that nothing of its size fits.

Change: a plan remembers the needs without room, and skips those that are at least as large.

--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -191,6 +191,7 @@
     };
 
     struct ranked_job;
+    class needs_without_room;
 
     // job_scheduler.cpp
     void note(scheduler_event event, const job_id& id, const task_key* task, run_number run,
@@ -233,7 +234,7 @@
 
     // scheduler_plan.cpp
     void plan_pool(const service_id& service, const std::set<job_id>& jobs, scheduler_time time);
-    void plan_job(open_job& open, const std::vector<target_status*>& pool, const resources& most_free,
+    void plan_job(open_job& open, const std::vector<target_status*>& pool, needs_without_room& full,
                   scheduler_time time);
     void plan_all_services();
     void plan_task(open_job& open, const task_position& p, target_status& t, scheduler_time time);
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -13,6 +13,43 @@
 
 } // namespace
 
+/// Needs for which no target of a pool has room. Room only shrinks while a plan is made, so that a search for
+/// any larger need is spared; in an overload that is nearly every search.
+class job_scheduler::needs_without_room {
+public:
+    explicit needs_without_room(const std::vector<target_status*>& pool)
+    {
+        for (const target_status* t : pool) {
+            const resources left = t->free();
+            most_free_.milli_cpu = std::max(most_free_.milli_cpu, left.milli_cpu);
+            most_free_.memory_mib = std::max(most_free_.memory_mib, left.memory_mib);
+            most_free_.accelerators = std::max(most_free_.accelerators, left.accelerators);
+        }
+    }
+
+    [[nodiscard]] bool covers(const resources& need) const
+    {
+        return !at_most(need, most_free_) ||
+               std::any_of(needs_.begin(), needs_.end(),
+                           [&need](const resources& known) { return at_most(known, need); });
+    }
+
+    void add(const resources& need)
+    {
+        std::erase_if(needs_, [&need](const resources& known) { return at_most(need, known); });
+        needs_.push_back(need);
+    }
+
+private:
+    static bool at_most(const resources& a, const resources& b)
+    {
+        return a.milli_cpu <= b.milli_cpu && a.memory_mib <= b.memory_mib && a.accelerators <= b.accelerators;
+    }
+
+    resources most_free_;
+    std::vector<resources> needs_; ///< None is at most another one.
+};
+
 struct job_scheduler::ranked_job {
     work_rank rank;
     open_job* open = nullptr;
@@ -31,15 +68,9 @@
 void job_scheduler::plan_pool(const service_id& service, const std::set<job_id>& jobs, scheduler_time time)
 {
     std::vector<target_status*> pool;
-    resources most_free;
     for (auto& [id, t] : targets_) {
-        if (t.info.service != service || !accepts_work(t, time.now))
-            continue;
-        pool.push_back(&t);
-        const resources left = t.free();
-        most_free.milli_cpu = std::max(most_free.milli_cpu, left.milli_cpu);
-        most_free.memory_mib = std::max(most_free.memory_mib, left.memory_mib);
-        most_free.accelerators = std::max(most_free.accelerators, left.accelerators);
+        if (t.info.service == service && accepts_work(t, time.now))
+            pool.push_back(&t);
     }
     if (pool.empty())
         return;
@@ -58,12 +89,13 @@
     }
     std::sort(ranked.begin(), ranked.end(),
               [](const ranked_job& a, const ranked_job& b) { return a.rank < b.rank; });
+    needs_without_room full{pool};
     for (const ranked_job& it : ranked)
-        plan_job(*it.open, pool, most_free, time);
+        plan_job(*it.open, pool, full, time);
 }
 
 void job_scheduler::plan_job(open_job& open, const std::vector<target_status*>& pool,
-                             const resources& most_free, scheduler_time time)
+                             needs_without_room& full, scheduler_time time)
 {
     job& j = *open.state;
     for (std::uint32_t k = 0; k < j.record().spec.occurrences; ++k) {
@@ -73,9 +105,8 @@
             if (!j.step_ready(k, s))
                 continue;
             const step_spec& step = j.step(s);
-            // Room only shrinks while a plan is made, so that this spares the search for most steps.
-            if ((!step.backfill && step.need.milli_cpu > most_free.milli_cpu) ||
-                step.need.memory_mib > most_free.memory_mib)
+            const resources need = counted_need(step);
+            if (full.covers(need))
                 continue;
             for (std::uint32_t n = 0; n < step.tasks; ++n) {
                 const task_position p{k, s, n};
@@ -87,8 +118,12 @@
                 const placement_request request{&step, &open.step_runs[s], t.failed_on,
                                                 rack_of_step(open, s)};
                 target_status* target = choose_target(request, pool, time.now);
-                if (target == nullptr)
+                if (target == nullptr) {
+                    // Without other conditions, only a lack of room leaves a task without a target.
+                    if (step.required_label.empty() && step.max_per_target == 0)
+                        full.add(need);
                     break;
+                }
                 plan_task(open, p, *target, time);
             }
         }
--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -487,3 +487,23 @@
     alone.advance(4s);
     CHECK(alone.take_stops().empty());
 }
+
+// Plays an overload: searches for room are spared for needs that a smaller one has shown to be without room.
+// Guards against sparing too many.
+TEST_CASE("a task for which there is no room keeps none that is smaller, or differs in kind, from starting")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    const target_id b = f.add_target("b");
+    f.add_job("fills", 2, 27'000);
+    REQUIRE(f.plan_and_store().size() == 2); // 5 cores are left on each target
+    f.add_job("wide", 1, 9000);
+    f.add_job("labelled", 1, 1000, [](step_spec& s) { s.required_label = "none-has-it"; });
+    f.add_job("memory", 1, 1000, [](step_spec& s) { s.need.memory_mib = 1'000'000; });
+    f.add_job("small", 3, 4000);
+    std::set<job_id> started;
+    for (const start_command& s : f.plan_and_store())
+        started.insert(s.order.task.job);
+    CHECK(started == std::set<job_id>{job_id{"small"}});
+    CHECK(f.scheduler.targets().at(a).used.milli_cpu + f.scheduler.targets().at(b).used.milli_cpu == 62'000);
+}
