Give each starving pool an equal division before any gets more

Change: a pool with work that waits and fewer hosts than an equal division claims busy hosts of pools with more than that; they are cordoned, move when their tasks have ended, and none of them holds permanent tasks. An order is sent only for the life of the host that it was stored for.

Ruled out: stopping the flood's tasks, which throws work away.

--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -196,6 +196,7 @@
 {
     const timestamp now = time_.now();
     std::map<service_id, pool_state> pools;
+    std::map<service_id, std::vector<std::pair<double, std::string>>> busy; ///< With their load.
     for (const auto& [id, service] : config_->services) {
         pool_state& p = pools[id];
         p.service = id;
@@ -220,6 +221,15 @@
             pool->second.idle.push_back({id, duration{0}});
         else if (idle != idle_since_.end())
             pool->second.idle.push_back({id, now - idle->second});
+        else if (const auto t = scheduler_.targets().find(target_of(id));
+                 t != scheduler_.targets().end() && accepts_work(t->second, now) &&
+                 !scheduler_.has_permanent_runs(t->first))
+            busy[pool->first].emplace_back(t->second.used.dominant_fraction(t->second.info.capacity), id);
+    }
+    for (auto& [service, hosts] : busy) {
+        std::sort(hosts.begin(), hosts.end());
+        for (const auto& [load, id] : hosts)
+            pools[service].busy.push_back(id);
     }
     std::vector<pool_state> out;
     out.reserve(pools.size());
@@ -338,7 +348,8 @@
         if (host == hosts_.end() || host->second.state != host_state::up || !certain_() ||
             !journal_.has(id, work.order))
             continue;
-        if (ready_to_go_down(id, work))
+        // A new life of the host is stored with the next decision.
+        if (work.order.target == target_of(id) && ready_to_go_down(id, work))
             send_order(id, work);
     }
     // A move that could not begin in time makes room for a new decision.
--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -135,8 +135,8 @@
     /// Orders that were sent, until no later leader can come into conflict with them.
     std::map<std::string, std::pair<host_order, timestamp>> recent_orders_;
     std::map<service_id, std::deque<std::pair<timestamp, double>>> demand_samples_;
-    std::set<std::string>
-        held_; ///< Hosts that the former leader may have ordered; until the end of the hand-over.
+    /// Hosts that the former leader may have ordered; until the end of the hand-over.
+    std::set<std::string> held_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     timestamp next_list_;
     timestamp next_plan_;
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -142,6 +142,7 @@
     void expect_end(const target_id& id, scheduler_time time);
     [[nodiscard]] pool_demand demand_of(const service_id& service) const;
     [[nodiscard]] bool only_permanent_runs(const target_id& id) const;
+    [[nodiscard]] bool has_permanent_runs(const target_id& id) const;
     /// Whether every step with a limit of unavailable tasks can lose those on the target.
     [[nodiscard]] bool can_lose(const target_id& id) const;
     /// An order that ends everything on the target is on its way, or was refused after all.
--- a/src/plugins/jobs/pool_plan.cpp
+++ b/src/plugins/jobs/pool_plan.cpp
@@ -28,6 +28,26 @@
                     settings.fewest_hosts);
 }
 
+/// Moves busy hosts of pools that have more than an equal division, as soon as their work has ended, to a
+/// pool with less than that.
+void claim_division(pool_state& to, std::vector<pool_state>& pools, const pool_plan_settings& settings,
+                    double division, std::vector<host_move>& moves)
+{
+    if (to.standby || to.waiting < 1.0)
+        return;
+    const std::size_t fair = static_cast<std::size_t>(division);
+    const std::size_t claim = std::min(fair, lent_down_to(to, settings));
+    for (pool_state& from : pools) {
+        while (!from.standby && from.waiting > 0.0 && from.hosts > fair && to.hosts < claim &&
+               !from.busy.empty()) {
+            moves.push_back({from.busy.front(), from.service, to.service});
+            from.busy.erase(from.busy.begin());
+            --from.hosts;
+            ++to.hosts;
+        }
+    }
+}
+
 /// Takes the host that has been idle longest.
 spare_host take_longest_idle(pool_state& p)
 {
@@ -78,6 +98,8 @@
                 take_from(from);
         }
     }
+    for (pool_state& to : pools)
+        claim_division(to, pools, settings, division, moves);
     const auto standby =
         std::find_if(pools.begin(), pools.end(), [](const pool_state& p) { return p.standby; });
     if (standby == pools.end())
--- a/src/plugins/jobs/pool_plan.h
+++ b/src/plugins/jobs/pool_plan.h
@@ -39,6 +39,8 @@
     double waiting = 0.0;  ///< Part of `present` that waits for room.
     double growth = 0.0;   ///< Of `present`, a second.
     std::vector<spare_host> idle;
+    /// Busy hosts whose work ends by itself within seconds; those with the least work first.
+    std::vector<std::string> busy;
 };
 
 struct host_move {
@@ -51,6 +53,8 @@
 /// the demand, first switched-off ones, then idle ones of other pools, and go back to the switched-off pool
 /// when they have been idle for a while. While a pool has work that waits, other pools keep no more idle
 /// hosts than their present work needs: neither a reserve nor room for steps that can't run yet.
+/// When several pools have work that waits, each gets an equal division of the hosts before any gets more, so
+/// that a flood in one does not shut out the others.
 [[nodiscard]] std::vector<host_move> plan_moves(std::vector<pool_state> pools,
                                                 const pool_plan_settings& settings);
 
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -103,6 +103,15 @@
     });
 }
 
+bool job_scheduler::has_permanent_runs(const target_id& id) const
+{
+    const std::set<task_key>& runs = targets_.at(id).runs;
+    return std::any_of(runs.begin(), runs.end(), [this](const task_key& key) {
+        const auto it = jobs_.find(key.job);
+        return it != jobs_.end() && it->second.state->step(key.position.step).permanent;
+    });
+}
+
 bool job_scheduler::stays_at_work(const task& t) const
 {
     if (!t.run || t.run->phase != run_phase::running || !t.run->at_work)
--- a/src/plugins/jobs/tests/tst_job_decisions.cpp
+++ b/src/plugins/jobs/tests/tst_job_decisions.cpp
@@ -232,3 +232,30 @@
     CHECK(with == 32);
     CHECK(without < with);
 }
+
+// Plays a flood: one pool asks for three times the fleet and holds nearly all of it, while another one has 70
+// hosts' worth of work and 10 hosts (a hot team on a grown deployment: 6% of the other pool's worth was
+// earned).
+TEST_CASE("a flood in one pool leaves the others an equal division of the hosts")
+{
+    pool_state flood = make_pool("sort", 300, 700.0, 0);
+    flood.present = 700.0;
+    flood.waiting = 450.0;
+    for (int i = 0; i < 200; ++i)
+        flood.busy.push_back("b" + std::to_string(i));
+    pool_state other = make_pool("fit", 10, 80.0, 0);
+    other.present = 80.0;
+    other.waiting = 70.0;
+    pool_state quiet = make_pool("sign", 60, 10.0, 0);
+    quiet.present = 10.0;
+    const std::vector<host_move> moves = plan_moves({flood, other, quiet}, pool_plan_settings{});
+    // 370 hosts for three pools; the other one asks for 98 with the headroom.
+    CHECK(moves.size() == 88);
+    for (const host_move& m : moves) {
+        CHECK(m.from == service_id{"sort"});
+        CHECK(m.to == service_id{"fit"});
+    }
+
+    other.waiting = 0.0; // its work runs: busy hosts stay where they are
+    CHECK(plan_moves({flood, other, quiet}, pool_plan_settings{}).empty());
+}
