--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -37,8 +37,8 @@
     duration missing_time{std::chrono::milliseconds{5000}};
     /// An order without an answer is looked up in the list of hosts after this long.
     duration doubt_time{std::chrono::milliseconds{4000}};
-    /// An order of the former leader that the list of hosts does not show after this long was not given:
-    /// longer than an order's call may take.
+    /// An order of the former leader that the list of hosts does not show after this long was not given: the
+    /// time that an order's call may take.
     duration restored_doubt{std::chrono::milliseconds{1000}};
     pool_plan_settings pools;
 };
--- a/src/plugins/jobs/pool_plan.cpp
+++ b/src/plugins/jobs/pool_plan.cpp
@@ -33,7 +33,7 @@
 void claim_division(pool_state& to, std::vector<pool_state>& pools, const pool_plan_settings& settings,
                     double division, std::vector<host_move>& moves)
 {
-    if (to.standby || to.waiting < 1.0)
+    if (to.standby || to.waiting < settings.starving_hosts)
         return;
     const std::size_t fair = static_cast<std::size_t>(division);
     const std::size_t claim = std::min(fair, lent_down_to(to, settings));
@@ -80,10 +80,10 @@
             continue;
         const std::size_t wanted = wanted_hosts(to, settings, division);
         const auto take_from = [&](pool_state& from) {
+            const bool lends = to.waiting > std::max(from.waiting, settings.starving_hosts);
             std::size_t kept = 0;
             if (!from.standby)
-                kept = to.waiting > from.waiting && to.waiting > 1.0 ? lent_down_to(from, settings)
-                                                                     : wanted_hosts(from, settings, division);
+                kept = lends ? lent_down_to(from, settings) : wanted_hosts(from, settings, division);
             while (to.hosts < wanted && !from.idle.empty() && from.hosts > kept) {
                 moves.push_back({take_longest_idle(from).id, from.service, to.service});
                 ++to.hosts;
--- a/src/plugins/jobs/pool_plan.h
+++ b/src/plugins/jobs/pool_plan.h
@@ -13,10 +13,13 @@
     /// Hosts kept beyond the present need, since a new one takes seconds to join.
     double spare_hosts = 1.5;
     std::size_t fewest_hosts = 3;
+    /// A pool starves when work that fills this many hosts waits; less is a gap that the next end closes.
+    double starving_hosts = 1.0;
     /// Share of an equal division of all hosts among the pools that is kept even when nothing asks for it.
     /// Not of a pool's size in the past, which a new leader does not know.
     double kept_share = 0.42;
-    /// Time that a host needs to join a pool: a growing demand is met as it will be by then.
+    /// Time that a host needs to join a pool, 1.5 s for the move and the rest for its registration: a growing
+    /// demand is met as it will be by then.
     double joining_seconds = 2.0;
     /// An idle host is switched off after this long, which is worth more than the cost of two moves.
     duration idle_time{std::chrono::milliseconds{2500}};
