--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -477,6 +477,7 @@
     const target_id a{"a"};
     f.scheduler.set_target(f.info_of("a"), f.now());
     std::vector<listed_run> all;
+    all.reserve(starts.size());
     for (const start_command& s : starts)
         all.push_back(running(s));
     f.report(a, all);
