Parse numbers, count milliseconds and compare resources in one place

Cause: read-through.

Change: core/number_text.h, to_ms in core/time_types.h, clock::unix_ms; the others call what existed.

--- a/src/libs/core/clock.h
+++ b/src/libs/core/clock.h
@@ -14,6 +14,8 @@
 
     [[nodiscard]] virtual timestamp now() const = 0;
     [[nodiscard]] virtual wall_time wall_now() const = 0;
+    /// The wall clock's time as Unix time in milliseconds.
+    [[nodiscard]] std::int64_t unix_ms() const { return wall_now().time_since_epoch().count(); }
 };
 
 /// Reads the operating system's clocks.
--- a/src/libs/core/tests/tst_core.cpp
+++ b/src/libs/core/tests/tst_core.cpp
@@ -3,6 +3,7 @@
 #include "core/hybrid_clock.h"
 #include "core/identifiers.h"
 #include "core/invariant.h"
+#include "core/number_text.h"
 #include "core/random_source.h"
 #include "core/task_types.h"
 
@@ -90,3 +91,13 @@
     ring.wake();
     CHECK(ring.pop_for(std::chrono::hours{1}) == std::nullopt);
 }
+
+TEST_CASE("a number is parsed as a whole or not at all")
+{
+    CHECK(parse_integer<std::uint32_t>("42") == 42U);
+    CHECK(parse_integer<std::int64_t>("-42") == -42);
+    for (const char* text : {"", "x", "4x", " 4", "-4", "4294967296"}) {
+        CAPTURE(text);
+        CHECK_FALSE(parse_integer<std::uint32_t>(text));
+    }
+}
--- a/src/libs/core/time_types.h
+++ b/src/libs/core/time_types.h
@@ -1,12 +1,19 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace mjm {
 
 /// Time difference in microseconds.
 using duration = std::chrono::microseconds;
 
+/// Whole milliseconds.
+[[nodiscard]] constexpr std::int64_t to_ms(duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
 /// Monotonic time; only differences are meaningful, and only within one process.
 using timestamp = std::chrono::time_point<std::chrono::steady_clock, duration>;
 
--- a/src/libs/platform/store_codec.cpp
+++ b/src/libs/platform/store_codec.cpp
@@ -1,23 +1,14 @@
 #include "platform/store_codec.h"
 
+#include "core/number_text.h"
 #include "platform/cbor_message.h"
 #include "platform/error_body.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace mjm {
 
-std::optional<std::uint64_t> parse_number(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const std::from_chars_result r = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (r.ec != std::errc{} || r.ptr != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
-
 http_response encode_read(const kv_read& value)
 {
     http_response response;
@@ -35,7 +26,7 @@
     const auto it = std::find_if(response.headers.begin(), response.headers.end(),
                                  [](const auto& header) { return header.first == revision_header; });
     const std::optional<std::uint64_t> revision =
-        it == response.headers.end() ? std::nullopt : parse_number(it->second);
+        it == response.headers.end() ? std::nullopt : parse_integer<std::uint64_t>(it->second);
     if (!revision)
         return tl::unexpected{store_errc::bad_response};
     return kv_read{response.status == 304, {key, std::move(response.body), *revision}};
@@ -84,7 +75,7 @@
 {
     if (response.status != 200)
         return tl::unexpected{decode_store_error(response)};
-    const std::optional<std::uint64_t> value = parse_number(response.body);
+    const std::optional<std::uint64_t> value = parse_integer<std::uint64_t>(response.body);
     if (!value)
         return tl::unexpected{store_errc::bad_response};
     return *value;
--- a/src/libs/platform/store_codec.h
+++ b/src/libs/platform/store_codec.h
@@ -34,7 +34,4 @@
 /// Error of a call that got no answer.
 [[nodiscard]] store_errc to_store_errc(http_errc ec);
 
-/// Parses a decimal number; nothing when the text is anything else.
-[[nodiscard]] std::optional<std::uint64_t> parse_number(std::string_view text);
-
 } // namespace mjm
--- a/src/plugins/admin/admin_api.cpp
+++ b/src/plugins/admin/admin_api.cpp
@@ -1,12 +1,12 @@
 #include "admin/admin_api.h"
 
 #include "admin/admin_errc.h"
+#include "core/number_text.h"
 
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 
 #include <algorithm>
-#include <charconv>
 #include <list>
 #include <utility>
 
@@ -142,15 +142,6 @@
     return out;
 }
 
-std::optional<std::uint64_t> parse_number(std::string_view text)
-{
-    std::uint64_t n = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (text.empty() || ec != std::errc{} || end != text.data() + text.size())
-        return std::nullopt;
-    return n;
-}
-
 std::optional<std::string> find(const std::map<std::string, std::string>& values, const std::string& name)
 {
     const auto it = values.find(name);
@@ -373,7 +364,7 @@
     void show_history(const call& c)
     {
         const std::optional<std::uint64_t> limit =
-            parse_number(find(c.request.query, "limit").value_or("50"));
+            parse_integer<std::uint64_t>(find(c.request.query, "limit").value_or("50"));
         if (!limit || *limit > settings_.max_history) {
             c.respond(failure(admin_errc::malformed_query,
                               "limit must be 0 to " + std::to_string(settings_.max_history)));
@@ -427,7 +418,7 @@
 
     void show_version(const call& c)
     {
-        const std::optional<std::uint64_t> version = parse_number(c.path[1]);
+        const std::optional<std::uint64_t> version = parse_integer<std::uint64_t>(c.path[1]);
         if (!version) {
             c.respond(failure(admin_errc::malformed_query, "a version is a number"));
             return;
--- a/src/plugins/caller_api/caller_api.cpp
+++ b/src/plugins/caller_api/caller_api.cpp
@@ -1,10 +1,9 @@
 #include "caller_api/caller_api.h"
 
 #include "caller_api/caller_codec.h"
+#include "core/number_text.h"
 #include "platform/error_body.h"
 
-#include <charconv>
-
 namespace mjm {
 
 namespace {
@@ -113,17 +112,15 @@
                                const responder& respond)
 {
     const std::string text = query_value(request, "count", "1");
-    std::size_t count = 0;
-    const std::from_chars_result parsed = std::from_chars(text.data(), text.data() + text.size(), count);
-    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size() || count < 1 ||
-        count > settings_.max_tickets) {
+    const std::optional<std::size_t> count = parse_integer<std::size_t>(text);
+    if (!count || *count < 1 || *count > settings_.max_tickets) {
         respond(
             error_response(status_bad_request, name_of(reason::bad_request),
                            "count: expected an integer from 1 to " + std::to_string(settings_.max_tickets)));
         return;
     }
     const tl::expected<std::vector<std::string>, reason> tickets =
-        front_.issue_tickets(service, presented_key(request), count);
+        front_.issue_tickets(service, presented_key(request), *count);
     respond(tickets ? encode_tickets(*tickets) : refusal(tickets.error()));
 }
 
--- a/src/plugins/caller_api/caller_codec.cpp
+++ b/src/plugins/caller_api/caller_codec.cpp
@@ -97,11 +97,6 @@
     return std::chrono::duration_cast<duration>(std::chrono::milliseconds{ms});
 }
 
-std::int64_t to_ms(duration d)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
-}
-
 std::string base64(const std::string& bytes)
 {
     if (bytes.empty())
--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -60,12 +60,12 @@
         if (restored != restored_.end())
             w.record = restored->second;
         else
-            w.record.seen_ms = time_.wall_now().time_since_epoch().count();
+            w.record.seen_ms = time_.unix_ms();
         log_.info("wave_seen", {{"wave", name},
                                 {"hosts", wave.hosts.size()},
                                 {"done", w.record.done.size()},
                                 {"max_down", wave.max_down},
-                                {"time_limit_ms", wave.time_limit.count() / 1000}});
+                                {"time_limit_ms", to_ms(wave.time_limit)}});
     }
     std::erase_if(waves_, [&waves](const auto& entry) { return !waves.contains(entry.first); });
 }
@@ -163,17 +163,8 @@
 double host_manager::hosts_for(const resources& need, const service_id& service) const
 {
     for (const auto& [id, h] : hosts_) {
-        if (h.pool == service && h.capacity.milli_cpu > 0) {
-            double most = 0.0;
-            const auto part = [&most](std::int64_t used, std::int64_t all) {
-                if (all > 0)
-                    most = std::max(most, static_cast<double>(used) / static_cast<double>(all));
-            };
-            part(need.milli_cpu, h.capacity.milli_cpu);
-            part(need.memory_mib, h.capacity.memory_mib);
-            part(need.accelerators, h.capacity.accelerators);
-            return most;
-        }
+        if (h.pool == service && h.capacity.milli_cpu > 0)
+            return need.dominant_fraction(h.capacity);
     }
     return 0.0;
 }
@@ -264,7 +255,7 @@
         log_.info("move_chosen", {{"host", move.host},
                                   {"from", move.from},
                                   {"to", move.to},
-                                  {"list_age_ms", (now - last_listed_[move.host]).count() / 1000}});
+                                  {"list_age_ms", to_ms(now - last_listed_[move.host])}});
     }
 }
 
@@ -390,14 +381,13 @@
                                {"pool", work.order.pool},
                                {"wave", work.order.wave},
                                {"outcome", answer ? std::string_view{"done"} : name_of(answer.error())},
-                               {"waited_ms", (work.ordered_at - work.chosen_at).count() / 1000}});
+                               {"waited_ms", to_ms(work.ordered_at - work.chosen_at)}});
     if (answer) {
         work.confirmed = true;
         if (work.order.kind == host_order_kind::maintain)
             mark_done(work, host);
         if (!work.order.target.empty())
-            scheduler_.expect_end(work.order.target,
-                                  {time_.now(), time_.wall_now().time_since_epoch().count()});
+            scheduler_.expect_end(work.order.target, {time_.now(), time_.unix_ms()});
         idle_since_.erase(host);
         return;
     }
--- a/src/plugins/jobs/host_waves.cpp
+++ b/src/plugins/jobs/host_waves.cpp
@@ -54,8 +54,7 @@
     std::sort(candidates.begin(), candidates.end(),
               [](const candidate& a, const candidate& b) { return a.load < b.load; });
     // As many at a time as are needed to be done in time; idle hosts cost nobody anything and go at once.
-    const double used =
-        static_cast<double>(time_.wall_now().time_since_epoch().count() - w.record.seen_ms) / 1000.0;
+    const double used = static_cast<double>(time_.unix_ms() - w.record.seen_ms) / 1000.0;
     const double time_left =
         settings_.wave_share * std::chrono::duration<double>(w.wave.time_limit).count() - used;
     const double rounds =
@@ -88,7 +87,7 @@
     if (work.order.kind == host_order_kind::move)
         return false;
     const timestamp now = time_.now();
-    const scheduler_time at{now, time_.wall_now().time_since_epoch().count()};
+    const scheduler_time at{now, time_.unix_ms()};
     if (!scheduler_.only_permanent_runs(target)) {
         if (now - work.chosen_at > settings_.patience)
             scheduler_.stop_saving_runs(target, at);
--- a/src/plugins/jobs/job_front.cpp
+++ b/src/plugins/jobs/job_front.cpp
@@ -97,7 +97,7 @@
     record.queue = r->queue->id;
     record.service = r->queue->service;
     record.team = r->team;
-    record.accepted_ms = time_.wall_now().time_since_epoch().count();
+    record.accepted_ms = time_.unix_ms();
     record.spec = std::move(spec);
     write_job(r->id, encode_job(record), time_.now() + settings_.write_time, false, std::move(done));
 }
@@ -158,8 +158,7 @@
             store_transaction t;
             const std::string key = job_keys::of(job_keys::cancelled, id);
             t.expected.emplace_back(key, 0);
-            t.writes.push_back(
-                {key, std::to_string(time_.wall_now().time_since_epoch().count()), std::nullopt, 0});
+            t.writes.push_back({key, std::to_string(time_.unix_ms()), std::nullopt, 0});
             store_.commit(
                 std::move(t),
                 guarded_callback(alive_, [this, id, done = std::move(done)](
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -71,7 +71,7 @@
 
 scheduler_time job_leader::now() const
 {
-    return {services_.time.now(), services_.time.wall_now().time_since_epoch().count()};
+    return {services_.time.now(), services_.time.unix_ms()};
 }
 
 void job_leader::load_progress(const std::string& after)
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -379,7 +379,7 @@
     for (auto& [id, t] : targets_) {
         if (!t.runs.empty() && !t.reachable && time.now > t.lease_until) {
             note(scheduler_event::target_lost, {}, nullptr, 0, id, "lease over",
-                 std::chrono::duration_cast<std::chrono::milliseconds>(time.now - t.lease_until).count());
+                 to_ms(time.now - t.lease_until));
             void_runs_of_target(t, "target lost", time);
             t.synced = false;
         }
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -228,6 +228,8 @@
 
     // scheduler_hosts.cpp
     void add_demand(const open_job& open, pool_demand& demand) const;
+    /// Whether `holds` for the step of any run on the target.
+    [[nodiscard]] bool any_step_on(const target_id& id, bool (*holds)(const step_spec&)) const;
     [[nodiscard]] bool stays_at_work(const task& t) const;
     /// Tasks of the step that are not at work or will not stay so, leaving those on `except` aside.
     [[nodiscard]] std::uint32_t tasks_away(job& j, std::uint32_t step, const target_id& except) const;
--- a/src/plugins/jobs/job_types.cpp
+++ b/src/plugins/jobs/job_types.cpp
@@ -1,7 +1,7 @@
 #include "jobs/job_types.h"
 
+#include "core/number_text.h"
 #include <array>
-#include <charconv>
 
 namespace mjm {
 
@@ -18,10 +18,10 @@
         const std::size_t dot = text.rfind('.');
         if (dot == std::string_view::npos)
             return std::nullopt;
-        const std::string_view part = text.substr(dot + 1);
-        const std::from_chars_result r = std::from_chars(part.data(), part.data() + part.size(), numbers[i]);
-        if (part.empty() || r.ec != std::errc{} || r.ptr != part.data() + part.size())
+        const std::optional<std::uint32_t> n = parse_integer<std::uint32_t>(text.substr(dot + 1));
+        if (!n)
             return std::nullopt;
+        numbers[i] = *n;
         text = text.substr(0, dot);
     }
     if (text.empty())
--- a/src/plugins/jobs/peer_jobs.cpp
+++ b/src/plugins/jobs/peer_jobs.cpp
@@ -1,9 +1,8 @@
 #include "jobs/peer_jobs.h"
 
+#include "core/number_text.h"
 #include "net/endpoint_text.h"
 
-#include <charconv>
-
 namespace mjm {
 
 namespace {
@@ -56,13 +55,14 @@
         return;
     }
     ask("/queues/" + queue.str(), [done = std::move(done)](const tl::expected<http_response, front_errc>& r) {
-        std::size_t count = 0;
-        if (!r)
+        if (!r) {
             done(tl::unexpected{r.error()});
-        else if (std::from_chars(r->body.data(), r->body.data() + r->body.size(), count).ec != std::errc{})
-            done(tl::unexpected{front_errc::leader_unavailable});
+            return;
+        }
+        if (const std::optional<std::size_t> count = parse_integer<std::size_t>(r->body))
+            done(*count);
         else
-            done(count);
+            done(tl::unexpected{front_errc::leader_unavailable});
     });
 }
 
--- a/src/plugins/jobs/pool_plan.h
+++ b/src/plugins/jobs/pool_plan.h
@@ -36,7 +36,6 @@
     service_id service;
     bool standby = false;  ///< Its hosts are switched off.
     std::size_t hosts = 0; ///< That are there, or on their way.
-    std::size_t usual = 0; ///< Largest number seen, as configured by the operator.
     double needed = 0.0;   ///< Hosts that the present work and the next steps of its jobs fill.
     double present = 0.0;  ///< Hosts that tasks which run or could run fill.
     double waiting = 0.0;  ///< Part of `present` that waits for room.
--- a/src/plugins/jobs/progress_journal.cpp
+++ b/src/plugins/jobs/progress_journal.cpp
@@ -1,9 +1,9 @@
 #include "jobs/progress_journal.h"
 
+#include "core/number_text.h"
 #include "jobs/job_keys.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace mjm {
 
@@ -14,11 +14,10 @@
 // Two conditions and the journal's own write.
 constexpr std::size_t overhead_entries = 3;
 
+/// A number that cannot be read starts the numbering anew, which is safe: the revision guards the writes.
 std::uint64_t parse_sequence(std::string_view text)
 {
-    std::uint64_t value = 0;
-    const std::from_chars_result r = std::from_chars(text.data(), text.data() + text.size(), value);
-    return r.ec == std::errc{} ? value : 0;
+    return parse_integer<std::uint64_t>(text).value_or(0);
 }
 
 } // namespace
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -96,19 +96,20 @@
 
 bool job_scheduler::only_permanent_runs(const target_id& id) const
 {
-    const std::set<task_key>& runs = targets_.at(id).runs;
-    return std::all_of(runs.begin(), runs.end(), [this](const task_key& key) {
-        const auto it = jobs_.find(key.job);
-        return it == jobs_.end() || it->second.state->step(key.position.step).permanent;
-    });
+    return !any_step_on(id, [](const step_spec& step) { return !step.permanent; });
 }
 
 bool job_scheduler::has_permanent_runs(const target_id& id) const
+{
+    return any_step_on(id, [](const step_spec& step) { return step.permanent; });
+}
+
+bool job_scheduler::any_step_on(const target_id& id, bool (*holds)(const step_spec&)) const
 {
     const std::set<task_key>& runs = targets_.at(id).runs;
-    return std::any_of(runs.begin(), runs.end(), [this](const task_key& key) {
+    return std::any_of(runs.begin(), runs.end(), [this, holds](const task_key& key) {
         const auto it = jobs_.find(key.job);
-        return it != jobs_.end() && it->second.state->step(key.position.step).permanent;
+        return it != jobs_.end() && holds(it->second.state->step(key.position.step));
     });
 }
 
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -29,23 +29,18 @@
 
     [[nodiscard]] bool covers(const resources& need) const
     {
-        return !at_most(need, most_free_) ||
+        return !need.fits_in(most_free_) ||
                std::any_of(needs_.begin(), needs_.end(),
-                           [&need](const resources& known) { return at_most(known, need); });
+                           [&need](const resources& known) { return known.fits_in(need); });
     }
 
     void add(const resources& need)
     {
-        std::erase_if(needs_, [&need](const resources& known) { return at_most(need, known); });
+        std::erase_if(needs_, [&need](const resources& known) { return need.fits_in(known); });
         needs_.push_back(need);
     }
 
 private:
-    static bool at_most(const resources& a, const resources& b)
-    {
-        return a.milli_cpu <= b.milli_cpu && a.memory_mib <= b.memory_mib && a.accelerators <= b.accelerators;
-    }
-
     resources most_free_;
     std::vector<resources> needs_; ///< None is at most another one.
 };
@@ -181,8 +176,7 @@
         void_run(open, p, "target changed before the start", time);
         return;
     }
-    const std::int64_t lease_ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(settings_.target_lease).count();
+    const std::int64_t lease_ms = to_ms(settings_.target_lease);
     start_order order;
     order.task = {j.id(), p};
     order.run = t.run->number;
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -9,11 +9,6 @@
 // 64 times the first wait: about 3 s, less than callers wait for a job that can still succeed.
 constexpr std::size_t max_backoff_doublings = 6;
 
-std::int64_t age_ms(timestamp now, timestamp since)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
-}
-
 } // namespace
 
 void job_scheduler::set_clock(target_status& t, std::int64_t clock_ms, timestamp now)
@@ -137,9 +132,7 @@
     t.ends_noted = request.ends_noted;
     // A target that misses answers gets no longer lease, so that the time when its runs are over stays known.
     if (t.clock_known && !t.runs.empty() && t.misses == 0 && t.reachable) {
-        request.deadline_ms =
-            t.clock_at_time(now) +
-            std::chrono::duration_cast<std::chrono::milliseconds>(settings_.target_lease).count();
+        request.deadline_ms = t.clock_at_time(now) + to_ms(settings_.target_lease);
         t.lease_until = std::max(t.lease_until, lease_end(now));
     }
     if (t.synced && t.reachable && !t.runs.empty() && t.unstored.empty() &&
@@ -163,7 +156,7 @@
     t->misses = 0;
     if (!t->reachable) {
         t->reachable = true;
-        note(scheduler_event::target_reachable, {}, nullptr, 0, target, {}, age_ms(time.now, sent_at));
+        note(scheduler_event::target_reachable, {}, nullptr, 0, target, {}, to_ms(time.now - sent_at));
     }
     if (t->ordered_down_at != timestamp{} && sent_at > t->ordered_down_at && report->born == t->info.born) {
         t->ordered_down_at = {};
@@ -239,7 +232,7 @@
     it.ended_run = end.run;
     const bool permanent = j.step(end.task.position.step).permanent;
     note(scheduler_event::run_ended, j.id(), &end.task, end.run, t.info.id, std::string{name_of(end.how)},
-         it.run ? age_ms(time.now, it.run->ordered_at) : 0);
+         it.run ? to_ms(time.now - it.run->ordered_at) : 0);
     j.mark_started();
     // The start of a run that an earlier leader ordered is not known, so that its time would seem too short.
     if (it.run && end.how == run_end::done && it.run->phase == run_phase::running &&
@@ -358,9 +351,7 @@
         if (open == nullptr || !open->state->contains(r.task.position))
             continue;
         const double objective =
-            static_cast<double>(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                    open->state->step(r.task.position.step).latency_objective)
-                                    .count());
+            static_cast<double>(to_ms(open->state->step(r.task.position.step).latency_objective));
         if (objective <= 0.0)
             continue;
         serves = true;
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -52,10 +52,7 @@
     [[nodiscard]] bool settled() const { return runs.empty() && unstored.empty(); }
     [[nodiscard]] resources free() const { return info.capacity - used; }
     /// The target's clock at `now`, not later than it really is by more than the answer took.
-    [[nodiscard]] std::int64_t clock_at_time(timestamp now) const
-    {
-        return clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(now - clock_at).count();
-    }
+    [[nodiscard]] std::int64_t clock_at_time(timestamp now) const { return clock_ms + to_ms(now - clock_at); }
 };
 
 } // namespace mjm
--- a/src/plugins/jobs/tests/fakes/fake_targets.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_targets.cpp
@@ -18,8 +18,7 @@
 
 std::int64_t fake_fleet::clock_ms() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(loop_.time().now().time_since_epoch())
-        .count();
+    return to_ms(loop_.time().now().time_since_epoch());
 }
 
 fake_fleet::target* fake_fleet::find(const std::string& host)
--- a/src/plugins/jobs/tests/scheduler_fixture.cpp
+++ b/src/plugins/jobs/tests/scheduler_fixture.cpp
@@ -78,7 +78,7 @@
 void scheduler_fixture::advance(duration d)
 {
     now_ += d;
-    unix_ms_ += std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+    unix_ms_ += to_ms(d);
     scheduler.tick(now());
     sort_commands();
 }
--- a/src/plugins/jobs/work_order.cpp
+++ b/src/plugins/jobs/work_order.cpp
@@ -10,11 +10,6 @@
 // Open work that weighs as much as a second of slack: about half of a mean job of the larger queues.
 constexpr double work_per_slack_second = 60.0;
 
-std::int64_t to_ms(duration d)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
-}
-
 } // namespace
 
 job_objective objective_of(const job& j, std::int64_t from_ms, double stretch, duration allowance)
--- a/src/plugins/shard/ticket.cpp
+++ b/src/plugins/shard/ticket.cpp
@@ -1,11 +1,11 @@
 #include "shard/ticket.h"
 
+#include "core/number_text.h"
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
 #include <array>
-#include <charconv>
 #include <vector>
 
 namespace mjm {
@@ -28,16 +28,6 @@
     }
 }
 
-template <typename Integer>
-std::optional<Integer> parse_integer(std::string_view text)
-{
-    Integer value = 0;
-    const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (result.ec != std::errc{} || result.ptr != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
-
 std::string to_hex(const unsigned char* data, std::size_t size)
 {
     constexpr std::string_view digits = "0123456789abcdef";
--- a/src/tools/mjm_load/load_run.cpp
+++ b/src/tools/mjm_load/load_run.cpp
@@ -306,11 +306,10 @@
     ++record.submissions;
     if (const std::optional<request_id> id = id_of_ticket(it->ticket))
         record.ids.insert(*id);
-    json body{
-        {"idempotent", record.idempotent},
-        {"priority", name_of(record.urgency)},
-        {"timeout_ms", std::chrono::duration_cast<std::chrono::milliseconds>(settings_.timeout).count()},
-        {"payload", record.payload}};
+    json body{{"idempotent", record.idempotent},
+              {"priority", name_of(record.urgency)},
+              {"timeout_ms", to_ms(settings_.timeout)},
+              {"payload", record.payload}};
     if (!it->ticket.empty())
         body["ticket"] = it->ticket;
     http_request request;
--- a/src/tools/mjm_platform_standin/platform_service.cpp
+++ b/src/tools/mjm_platform_standin/platform_service.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/enum_names.h"
+#include "core/number_text.h"
 #include "core/random_source.h"
 #include "net/io_runtime.h"
 #include "platform/error_body.h"
@@ -133,7 +134,7 @@
         const auto it = query_.find(name);
         if (it == query_.end())
             return std::nullopt;
-        const std::optional<std::uint64_t> value = parse_number(it->second);
+        const std::optional<std::uint64_t> value = parse_integer<std::uint64_t>(it->second);
         ok_ = ok_ && value.has_value();
         return value;
     }
