Share status codes, contact lines, array fields and the walk over open runs

Cause: read-through. Nine files named the same HTTP status codes, two of them giving one name to 409 and 412; four users of the store wrote the same two log lines; eleven places looked up a field and asked whether it is an array; two loops copied the set of jobs with runs and walked their tasks; two places put the same placement request together; and the cases of the scheduler repeated how a job is started.

Change: net/http_code.h, log_store_contact, array_field, for_tasks_with_runs, placement_of, plan_step (which was the inner half of plan_job, four levels deep), run_job and stop_unanswered_start in the tests. Two thresholds of the election got names. job_leader::scheduler, which nothing called, is gone.

One fault found on the way: a caller's method became a label of mjm_requests_total, so that arbitrary methods would have filled the memory with series; methods that are not served share the label "other", and the counters are looked up once in place of at each request. A case of tst_platform_adapter guards it.

The tests keep their assertions.

--- a/src/plugins/caller_api/caller_api.cpp
+++ b/src/plugins/caller_api/caller_api.cpp
@@ -2,15 +2,13 @@
 
 #include "caller_api/caller_codec.h"
 #include "core/number_text.h"
+#include "net/http_code.h"
 #include "platform/error_body.h"
 
 namespace mjm {
 
 namespace {
 
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_method_not_allowed = 405;
 constexpr std::string_view bearer = "Bearer ";
 
 std::string presented_key(const http_request& request)
@@ -54,9 +52,9 @@
     const bool request_path = path.size() == 3 && path[0] == "v1" && path[1] == "requests";
     if (service_path && (path[3] == "requests" || path[3] == "tickets")) {
         if (request.method != "POST") {
-            respond(error_response(status_method_not_allowed, "method_not_allowed", "use POST"));
+            respond(error_response(http_code::method_not_allowed, "method_not_allowed", "use POST"));
         } else if (!is_valid_name(path[2])) {
-            respond(error_response(status_bad_request, "bad_request", "malformed service name"));
+            respond(error_response(http_code::bad_request, "bad_request", "malformed service name"));
         } else if (path[3] == "requests") {
             submit(service_id{path[2]}, request, std::move(respond));
         } else {
@@ -67,9 +65,9 @@
     } else if (request_path && request.method == "DELETE") {
         cancel(request_id{path[2]}, request, std::move(respond));
     } else if (request_path) {
-        respond(error_response(status_method_not_allowed, "method_not_allowed", "use GET or DELETE"));
+        respond(error_response(http_code::method_not_allowed, "method_not_allowed", "use GET or DELETE"));
     } else {
-        respond(error_response(status_not_found, "not_found", request.path));
+        respond(error_response(http_code::not_found, "not_found", request.path));
     }
 }
 
@@ -86,7 +84,7 @@
 {
     tl::expected<caller_request, bad_input> call = decode_submission(request.body);
     if (!call) {
-        respond(error_response(status_bad_request, name_of(reason::bad_request),
+        respond(error_response(http_code::bad_request, name_of(reason::bad_request),
                                call.error().pointer + ": " + call.error().detail));
         return;
     }
@@ -115,7 +113,7 @@
     const std::optional<std::size_t> count = parse_integer<std::size_t>(text);
     if (!count || *count < 1 || *count > settings_.max_tickets) {
         respond(
-            error_response(status_bad_request, name_of(reason::bad_request),
+            error_response(http_code::bad_request, name_of(reason::bad_request),
                            "count: expected an integer from 1 to " + std::to_string(settings_.max_tickets)));
         return;
     }
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -58,7 +58,6 @@
     [[nodiscard]] bool loaded() const { return loaded_; }
     [[nodiscard]] tl::expected<job_state, leader_errc> state_of(const job_id& id) const;
     [[nodiscard]] tl::expected<std::size_t, leader_errc> waiting_jobs(const queue_id& queue) const;
-    [[nodiscard]] job_scheduler& scheduler() { return scheduler_; }
 
 private:
     void load_progress(const std::string& after);
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -389,24 +389,20 @@
         return !t.listed && t.runs.empty() && !t.observing && time.now > t.lease_until;
     });
     leave_draining_targets(time);
-    const std::set<job_id> with_runs = with_runs_;
-    for (const job_id& id : with_runs) {
-        open_job& open = jobs_.at(id);
-        open.state->for_open_tasks([&](const task_position& p, task& t) {
-            if (!t.run || t.run->order_out)
-                return;
-            // Runs restored from the store whose target is in no listing.
-            if (!targets_.contains(t.run->target)) {
-                if (time.now > began_ + settings_.longest_lease + settings_.lease_margin * 2)
-                    void_run(open, p, "target unknown", time);
-                return;
-            }
-            // An answered stop waits for the next report, which shows what became of the run.
-            if (t.run->phase == run_phase::stopping && t.run->answered_at == timestamp{} &&
-                time.now - t.run->ordered_at > settings_.stop_retry)
-                send_stop({id, p}, *t.run, time.now);
-        });
-    }
+    for_tasks_with_runs([&](open_job& open, const task_position& p, task& t) {
+        if (t.run->order_out)
+            return;
+        // Runs restored from the store whose target is in no listing.
+        if (!targets_.contains(t.run->target)) {
+            if (time.now > began_ + settings_.longest_lease + settings_.lease_margin * 2)
+                void_run(open, p, "target unknown", time);
+            return;
+        }
+        // An answered stop waits for the next report, which shows what became of the run.
+        if (t.run->phase == run_phase::stopping && t.run->answered_at == timestamp{} &&
+            time.now - t.run->ordered_at > settings_.stop_retry)
+            send_stop({open.state->id(), p}, *t.run, time.now);
+    });
     if (time.now >= next_straggler_look_) {
         next_straggler_look_ = time.now + settings_.straggler_interval;
         move_stragglers(time);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -214,6 +214,20 @@
     void void_runs_of_target(target_status& t, const char* reason, scheduler_time time);
     void leave_draining_targets(scheduler_time time);
 
+    /// Calls `visit(job, position, task)` for each task that has a run; it may end the run.
+    template <typename Visit>
+    void for_tasks_with_runs(Visit visit)
+    {
+        const std::set<job_id> with_runs = with_runs_;
+        for (const job_id& id : with_runs) {
+            open_job& open = jobs_.at(id);
+            open.state->for_open_tasks([&](const task_position& p, task& t) {
+                if (t.run)
+                    visit(open, p, t);
+            });
+        }
+    }
+
     /// Calls `visit(job, position, run)` for each run on the target; it may end the run.
     template <typename Visit>
     void for_runs(const target_status& t, Visit visit)
@@ -239,6 +253,9 @@
     void plan_pool(const service_id& service, const std::set<job_id>& jobs, scheduler_time time);
     void plan_job(open_job& open, const std::vector<target_status*>& pool, needs_without_room& full,
                   scheduler_time time);
+    void plan_step(open_job& open, std::uint32_t occurrence, std::uint32_t number,
+                   const std::vector<target_status*>& pool, needs_without_room& full, scheduler_time time);
+    [[nodiscard]] placement_request placement_of(const open_job& open, const task_position& p) const;
     void plan_all_services();
     void plan_task(open_job& open, const task_position& p, target_status& t, scheduler_time time);
     /// Rack of the tasks of a rack-sensitive step that run already; empty for none.
--- a/src/plugins/jobs/peer_jobs.cpp
+++ b/src/plugins/jobs/peer_jobs.cpp
@@ -2,6 +2,7 @@
 
 #include "core/number_text.h"
 #include "net/endpoint_text.h"
+#include "net/http_code.h"
 
 namespace mjm {
 
@@ -9,9 +10,6 @@
 
 // A leader answers from memory; later than this the store is the quicker source.
 constexpr std::chrono::milliseconds peer_timeout{400};
-constexpr int status_not_found = 404;
-constexpr int status_ok = 200;
-constexpr int status_unavailable = 503;
 
 } // namespace
 
@@ -81,9 +79,9 @@
                  [&callbacks = callbacks_, done = std::move(done)](tl::expected<http_response, http_errc> r) {
                      tl::expected<http_response, front_errc> result{
                          tl::unexpected{front_errc::leader_unavailable}};
-                     if (r && r->status == status_ok)
+                     if (r && r->status == http_code::ok)
                          result = std::move(*r);
-                     else if (r && r->status == status_not_found)
+                     else if (r && r->status == http_code::not_found)
                          result = tl::unexpected{front_errc::unknown_job};
                      callbacks.post([done, result = std::move(result)] { done(result); });
                  });
@@ -93,26 +91,26 @@
 {
     http_response response;
     response.content_type = "text/plain";
-    response.status = status_unavailable;
+    response.status = http_code::service_unavailable;
     const std::vector<std::string> path = request.path_segments();
     if (leader == nullptr || path.size() != 2)
         return response;
     if (path[0] == "jobs") {
         const tl::expected<job_state, leader_errc> state = leader->state_of(job_id{path[1]});
         if (state) {
-            response.status = status_ok;
+            response.status = http_code::ok;
             response.body = name_of(*state);
         } else if (state.error() == leader_errc::unknown_job) {
-            response.status = status_not_found;
+            response.status = http_code::not_found;
         }
     } else if (path[0] == "queues") {
         const tl::expected<std::size_t, leader_errc> count = leader->waiting_jobs(queue_id{path[1]});
         if (count) {
-            response.status = status_ok;
+            response.status = http_code::ok;
             response.body = std::to_string(*count);
         }
     } else {
-        response.status = status_not_found;
+        response.status = http_code::not_found;
     }
     return response;
 }
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -97,34 +97,44 @@
         if (!j.due(k, time.unix_ms))
             break;
         for (std::uint32_t s = 0; s < j.record().spec.steps.size(); ++s) {
-            if (!j.step_ready(k, s))
-                continue;
-            const step_spec& step = j.step(s);
-            const resources need = counted_need(step);
-            if (full.covers(need))
-                continue;
-            for (std::uint32_t n = 0; n < step.tasks; ++n) {
-                const task_position p{k, s, n};
-                const task& t = j.at(p);
-                if (t.done || t.run || time.now < t.not_before)
-                    continue;
-                if (!within_cap(open, step))
-                    break;
-                const placement_request request{&step, &open.step_runs[s], t.failed_on,
-                                                rack_of_step(open, s)};
-                target_status* target = choose_target(request, pool, time.now);
-                if (target == nullptr) {
-                    // Without other conditions, only a lack of room leaves a task without a target.
-                    if (step.required_label.empty() && step.max_per_target == 0)
-                        full.add(need);
-                    break;
-                }
-                plan_task(open, p, *target, time);
-            }
+            if (j.step_ready(k, s))
+                plan_step(open, k, s, pool, full, time);
         }
     }
 }
 
+void job_scheduler::plan_step(open_job& open, std::uint32_t occurrence, std::uint32_t number,
+                              const std::vector<target_status*>& pool, needs_without_room& full,
+                              scheduler_time time)
+{
+    const step_spec& step = open.state->step(number);
+    const resources need = counted_need(step);
+    if (full.covers(need))
+        return;
+    for (std::uint32_t n = 0; n < step.tasks; ++n) {
+        const task_position p{occurrence, number, n};
+        const task& t = open.state->at(p);
+        if (t.done || t.run || time.now < t.not_before)
+            continue;
+        if (!within_cap(open, step))
+            return;
+        target_status* target = choose_target(placement_of(open, p), pool, time.now);
+        if (target == nullptr) {
+            // Without other conditions, only a lack of room leaves a task without a target.
+            if (step.required_label.empty() && step.max_per_target == 0)
+                full.add(need);
+            return;
+        }
+        plan_task(open, p, *target, time);
+    }
+}
+
+placement_request job_scheduler::placement_of(const open_job& open, const task_position& p) const
+{
+    return {&open.state->step(p.step), &open.step_runs[p.step], open.state->at(p).failed_on,
+            rack_of_step(open, p.step)};
+}
+
 std::string job_scheduler::rack_of_step(const open_job& open, std::uint32_t step) const
 {
     if (!open.state->step(step).rack_sensitive || open.step_runs[step].empty())
--- a/src/plugins/jobs/scheduler_stragglers.cpp
+++ b/src/plugins/jobs/scheduler_stragglers.cpp
@@ -12,17 +12,12 @@
 
 void job_scheduler::move_stragglers(scheduler_time time)
 {
-    const std::set<job_id> with_runs = with_runs_;
-    for (const job_id& id : with_runs) {
-        open_job& open = jobs_.at(id);
+    for_tasks_with_runs([&](open_job& open, const task_position& p, task& t) {
         if (open.state->cancelled() || is_final(open.state->state()))
-            continue;
-        open.state->for_open_tasks([&](const task_position& p, task& t) {
-            if (t.run && !t.moved && t.run->phase == run_phase::running &&
-                stands_still(open, p, *t.run, time))
-                move_straggler(open, p, time);
-        });
-    }
+            return;
+        if (!t.moved && t.run->phase == run_phase::running && stands_still(open, p, *t.run, time))
+            move_straggler(open, p, time);
+    });
 }
 
 bool job_scheduler::stands_still(const open_job& open, const task_position& p, const task_run& run,
@@ -50,9 +45,7 @@
         if (other.info.service == open.service && id != t.run->target)
             others.push_back(&other);
     }
-    const step_spec& step = open.state->step(p.step);
-    const placement_request request{&step, &open.step_runs[p.step], t.failed_on, rack_of_step(open, p.step)};
-    if (choose_target(request, others, time.now) == nullptr)
+    if (choose_target(placement_of(open, p), others, time.now) == nullptr)
         return;
     t.moved = true;
     t.failed_on = here.info.id;
--- /dev/null
+++ b/src/plugins/jobs/store_contact.cpp
@@ -0,0 +1,14 @@
+#include "jobs/store_contact.h"
+
+namespace mjm {
+
+void log_store_contact(const logger& log, std::string_view user,
+                       const tl::expected<void, store_errc>& contact)
+{
+    if (contact)
+        log.info("store_regained", {{"user", user}});
+    else
+        log.warn("store_lost", {{"user", user}, {"error", name_of(contact.error())}});
+}
+
+} // namespace mjm
--- a/src/plugins/jobs/tests/scheduler_fixture.cpp
+++ b/src/plugins/jobs/tests/scheduler_fixture.cpp
@@ -75,6 +75,17 @@
     return job_id{name};
 }
 
+std::vector<start_command> scheduler_fixture::run_job(const std::string& name, std::uint32_t tasks,
+                                                      std::int64_t milli_cpu,
+                                                      const std::function<void(step_spec&)>& change)
+{
+    add_job(name, tasks, milli_cpu, change);
+    std::vector<start_command> out = plan_and_store();
+    for (const start_command& s : out)
+        confirm(s);
+    return out;
+}
+
 void scheduler_fixture::advance(duration d)
 {
     now_ += d;
--- a/src/plugins/jobs/tests/scheduler_fixture.h
+++ b/src/plugins/jobs/tests/scheduler_fixture.h
@@ -24,6 +24,10 @@
     /// A job of one step; `change` adapts the step.
     job_id add_job(const std::string& name, std::uint32_t tasks, std::int64_t milli_cpu = 2000,
                    const std::function<void(step_spec&)>& change = {});
+    /// A job of one step whose tasks the targets have confirmed; returns the starts.
+    std::vector<start_command> run_job(const std::string& name, std::uint32_t tasks,
+                                       std::int64_t milli_cpu = 2000,
+                                       const std::function<void(step_spec&)>& change = {});
     job_record record_of(const std::string& name, std::uint32_t tasks, std::int64_t milli_cpu = 2000) const;
 
     void advance(duration d);
--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -7,6 +7,25 @@
 using namespace mjm;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// A start gets no answer, the target does not list the run, and a stop for it is answered.
+void stop_unanswered_start(scheduler_fixture& f, const target_id& target)
+{
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    f.scheduler.on_start_answer(target, starts[0].order.task, 1, tl::unexpected{order_errc::no_answer},
+                                f.now());
+    f.advance(50ms);
+    f.report(target, {});
+    CHECK(f.plan_and_store().empty());
+    REQUIRE(f.take_stops().size() == 1);
+    f.scheduler.on_stop_answer(target, starts[0].order.task, 1, order_answer{5000}, f.now());
+}
+
+} // namespace
+
 // Guards against a start that a next leader would not know of.
 TEST_CASE("a run starts only after the store has it")
 {
@@ -26,10 +45,8 @@
 {
     scheduler_fixture f;
     const target_id a = f.add_target("a");
-    f.add_job("j", 1);
-    const std::vector<start_command> starts = f.plan_and_store();
+    const std::vector<start_command> starts = f.run_job("j", 1);
     REQUIRE(starts.size() == 1);
-    f.confirm(starts[0]);
     f.report(a, {}, {ended(starts[0], 1, run_end::done)});
     CHECK(f.scheduler.begin_observation(a, f.now().now).ends_noted == 0);
     CHECK_FALSE(f.scheduler.targets().at(a).settled());
@@ -45,10 +62,9 @@
 {
     scheduler_fixture f;
     const target_id a = f.add_target("a");
-    f.add_job("j", 1, 2000, [](step_spec& s) { s.permanent = true; });
-    const std::vector<start_command> starts = f.plan_and_store();
+    const std::vector<start_command> starts =
+        f.run_job("j", 1, 2000, [](step_spec& s) { s.permanent = true; });
     REQUIRE(starts.size() == 1);
-    f.confirm(starts[0]);
     f.report(a, {running(starts[0])});
     const target_id b = f.add_target("b");
     for (int i = 0; i < 40; ++i) {
@@ -66,9 +82,8 @@
 {
     scheduler_fixture f;
     const target_id a = f.add_target("a");
-    f.add_job("j", 1);
-    const std::vector<start_command> starts = f.plan_and_store();
-    f.confirm(starts.at(0));
+    const std::vector<start_command> starts = f.run_job("j", 1);
+    REQUIRE(starts.size() == 1);
     f.add_target("b");
     for (int i = 0; i < 10; ++i) {
         f.miss(a);
@@ -82,15 +97,7 @@
 {
     scheduler_fixture f;
     const target_id a = f.add_target("a");
-    f.add_job("j", 1);
-    const std::vector<start_command> starts = f.plan_and_store();
-    REQUIRE(starts.size() == 1);
-    f.scheduler.on_start_answer(a, starts[0].order.task, 1, tl::unexpected{order_errc::no_answer}, f.now());
-    f.advance(50ms);
-    f.report(a, {});
-    CHECK(f.plan_and_store().empty());
-    REQUIRE(f.take_stops().size() == 1);
-    f.scheduler.on_stop_answer(a, starts[0].order.task, 1, order_answer{5000}, f.now());
+    stop_unanswered_start(f, a);
     f.advance(50ms);
     f.report(a, {});
     const std::vector<start_command> again = f.plan_and_store();
@@ -105,14 +112,7 @@
 {
     scheduler_fixture f;
     const target_id a = f.add_target("a");
-    f.add_job("j", 1);
-    const std::vector<start_command> starts = f.plan_and_store();
-    REQUIRE(starts.size() == 1);
-    f.scheduler.on_start_answer(a, starts[0].order.task, 1, tl::unexpected{order_errc::no_answer}, f.now());
-    f.advance(50ms);
-    f.report(a, {});
-    REQUIRE(f.take_stops().size() == 1);
-    f.scheduler.on_stop_answer(a, starts[0].order.task, 1, order_answer{5000}, f.now());
+    stop_unanswered_start(f, a);
     f.advance(1ms);
     const timestamp sent_at = f.now().now;
     CHECK(f.scheduler.begin_observation(a, sent_at).wait == 0ms);
@@ -133,10 +133,8 @@
 {
     scheduler_fixture f;
     const target_id a = f.add_target("a");
-    f.add_job("j", 1);
-    const std::vector<start_command> starts = f.plan_and_store();
+    const std::vector<start_command> starts = f.run_job("j", 1);
     REQUIRE(starts.size() == 1);
-    f.confirm(starts[0]);
     f.scheduler.cancel_job(job_id{"j"}, f.now());
     REQUIRE(f.take_stops().size() == 1);
     f.scheduler.on_stop_answer(a, starts[0].order.task, 1, tl::unexpected{order_errc::no_answer}, f.now());
@@ -191,11 +189,8 @@
 {
     scheduler_fixture f;
     const target_id a = f.add_target("a");
-    f.add_job("j", 30, 4000);
-    const std::vector<start_command> starts = f.plan_and_store();
+    const std::vector<start_command> starts = f.run_job("j", 30, 4000);
     REQUIRE(starts.size() == 8);
-    for (const start_command& s : starts)
-        f.confirm(s);
     f.scheduler.cancel_job(job_id{"j"}, f.now());
     CHECK(f.take_stops().size() == 8);
     std::vector<listed_end> ends;
@@ -280,9 +275,8 @@
 {
     scheduler_fixture f;
     const target_id a = f.add_target("a");
-    f.add_job("j", 1);
-    const std::vector<start_command> starts = f.plan_and_store();
-    f.confirm(starts.at(0));
+    const std::vector<start_command> starts = f.run_job("j", 1);
+    REQUIRE(starts.size() == 1);
     f.advance(20ms);
     f.report(a, {}, {}, 2);
     CHECK(f.plan_and_store().size() == 1);
@@ -346,9 +340,8 @@
 {
     scheduler_fixture f;
     const target_id a = f.add_target("a");
-    f.add_job("j", 1);
-    const std::vector<start_command> starts = f.plan_and_store();
-    f.confirm(starts.at(0));
+    const std::vector<start_command> starts = f.run_job("j", 1);
+    REQUIRE(starts.size() == 1);
     f.advance(5ms);
     f.report(a, {running(starts[0])});
     f.add_target("b");
@@ -368,9 +361,9 @@
 {
     scheduler_fixture f;
     f.add_target("a");
-    f.add_job("serving", 1, 2000, [](step_spec& s) { s.permanent = true; });
-    const std::vector<start_command> starts = f.plan_and_store();
-    f.confirm(starts.at(0));
+    const std::vector<start_command> starts =
+        f.run_job("serving", 1, 2000, [](step_spec& s) { s.permanent = true; });
+    REQUIRE(starts.size() == 1);
     target_info info = f.info_of("a");
     info.state = target_state::draining;
     f.scheduler.set_target(info, f.now());
@@ -385,9 +378,8 @@
 {
     scheduler_fixture f;
     const target_id a = f.add_target("a");
-    f.add_job("j", 1);
-    const std::vector<start_command> starts = f.plan_and_store();
-    f.confirm(starts.at(0));
+    const std::vector<start_command> starts = f.run_job("j", 1);
+    REQUIRE(starts.size() == 1);
     f.report(a, {}, {ended(starts[0], 1, run_end::failed)});
     const std::string text = encode_progress(*f.scheduler.find_job(job_id{"j"}));
 
@@ -497,21 +489,15 @@
     scheduler_fixture f;
     f.add_target("a");
     f.add_target("b");
-    f.add_job("long", 4);
-    const std::vector<start_command> starts = f.plan_and_store();
+    const std::vector<start_command> starts = f.run_job("long", 4);
     REQUIRE(starts.size() == 4);
-    for (const start_command& s : starts)
-        f.confirm(s);
     f.advance(4s);
     CHECK(f.take_stops().empty());
 
     scheduler_fixture alone;
     const target_id only = alone.add_target("only");
-    alone.add_job("j", 2);
-    const std::vector<start_command> pair = alone.plan_and_store();
+    const std::vector<start_command> pair = alone.run_job("j", 2);
     REQUIRE(pair.size() == 2);
-    for (const start_command& s : pair)
-        alone.confirm(s);
     alone.advance(1s);
     alone.report(only, {running(pair[1])}, {ended(pair[0], 1, run_end::done)});
     alone.advance(4s);
--- a/src/plugins/peer_api/peer_api.cpp
+++ b/src/plugins/peer_api/peer_api.cpp
@@ -1,5 +1,6 @@
 #include "peer_api/peer_api.h"
 
+#include "net/http_code.h"
 #include "platform/error_body.h"
 #include "platform/peer_codec.h"
 
@@ -7,10 +8,6 @@
 
 namespace {
 
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_wrong_host = 421;
-
 http_response cbor_response(std::string body)
 {
     http_response response;
@@ -24,7 +21,7 @@
 void peer_api::handle(const http_request& request, responder respond)
 {
     if (request.header(peer_to_header) != self_.str())
-        respond(error_response(status_wrong_host, "wrong_host", self_.str()));
+        respond(error_response(http_code::misdirected_request, "wrong_host", self_.str()));
     else if (request.path == peer_forward_path)
         forward(request, std::move(respond));
     else if (request.path == peer_cancel_path)
@@ -32,14 +29,14 @@
     else if (request.path == peer_status_path)
         respond(cbor_response(node_.on_status(request.body)));
     else
-        respond(error_response(status_not_found, "not_found", request.path));
+        respond(error_response(http_code::not_found, "not_found", request.path));
 }
 
 void peer_api::forward(const http_request& request, responder respond)
 {
     const tl::expected<forwarded_request, codec_errc> message = decode_forwarded_request(request.body);
     if (!message) {
-        respond(error_response(status_bad_request, "malformed"));
+        respond(error_response(http_code::bad_request, "malformed"));
         return;
     }
     const request_id id = message->work.id;
@@ -52,7 +49,7 @@
 {
     const tl::expected<cancel_message, codec_errc> message = decode_cancel(request.body);
     if (!message) {
-        respond(error_response(status_bad_request, "malformed"));
+        respond(error_response(http_code::bad_request, "malformed"));
         return;
     }
     const request_id id = message->request;
--- a/src/tools/mjm_entry/decision_service.cpp
+++ b/src/tools/mjm_entry/decision_service.cpp
@@ -3,6 +3,7 @@
 #include "core/invariant.h"
 #include "kernel/kernel.h"
 #include "listening/io_service.h"
+#include "net/http_code.h"
 #include "platform/error_body.h"
 
 #include <nlohmann/json.hpp>
@@ -16,8 +17,6 @@
 constexpr duration tick_interval{std::chrono::milliseconds{20}};
 constexpr duration publish_interval{std::chrono::seconds{1}};
 constexpr std::size_t max_timeline_batch = 2000;
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
 
 entry_node_settings node_settings(const entry_program_settings& settings)
 {
@@ -110,13 +109,13 @@
 void decision_service::on_peer(http_request request, const http_server::responder& respond)
 {
     post_request([this, request = std::move(request), respond] { peer_handler_->handle(request, respond); },
-                 respond, error_response(status_unavailable, "refused"));
+                 respond, error_response(http_code::service_unavailable, "refused"));
 }
 
 void decision_service::on_operator(http_request request, const http_server::responder& respond)
 {
     post_request([this, request = std::move(request), respond] { answer_operator(request, respond); },
-                 respond, error_response(status_unavailable, "overloaded"));
+                 respond, error_response(http_code::service_unavailable, "overloaded"));
 }
 
 void decision_service::answer_operator(const http_request& request, const http_server::responder& respond)
@@ -129,7 +128,7 @@
     if (request.path == "/healthz") {
         response.body = R"({"status":"ok"})";
     } else if (request.path == "/readyz") {
-        response.status = node_->ready() ? 200 : status_unavailable;
+        response.status = node_->ready() ? 200 : http_code::service_unavailable;
         response.body = node_->ready() ? R"({"ready":true})" : R"({"ready":false})";
     } else if (request.path == "/metrics") {
         publish();
@@ -141,7 +140,7 @@
         response.body = events_.fetch_json(query_number(request, "since", 0),
                                            query_number(request, "max", max_timeline_batch));
     } else {
-        response = error_response(status_not_found, "not_found", request.path);
+        response = error_response(http_code::not_found, "not_found", request.path);
     }
     respond(response);
 }
