Let a leader's cost grow with what changes, not with all it holds

Cause: each answer, report and heartbeat of a target ran a whole pass: all targets were scanned for due observations and for each pool, all open jobs of a pool were ranked anew, and all targets were visited for each stored transaction. Change: events request one pass, which runs after the events that are queued already; a queue of waiting jobs by rank for each service; targets by service; no pass for a heartbeat that changes nothing; runs are checked each 100 ms; remaining work is computed when a task ends. Also: the clock counts the time for which a machine is suspended, so that a lease doesn't outlive its end; a call whose deadline is over before its first byte is not sent any more.

--- a/src/libs/core/clock.h
+++ b/src/libs/core/clock.h
@@ -12,6 +12,7 @@
     clock& operator=(const clock&) = delete;
     virtual ~clock() = default;
 
+    /// A clock that never goes back and also counts the time for which the machine was suspended.
     [[nodiscard]] virtual timestamp now() const = 0;
     [[nodiscard]] virtual wall_time wall_now() const = 0;
     /// The wall clock's time as Unix time in milliseconds.
--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include "core/clock.h"
 #include "net/header_text.h"
 #include "net/io_runtime.h"
 #include "net/url.h"
@@ -63,6 +64,8 @@
         std::string head;
         std::string body;
         steady::time_point deadline;
+        /// The deadline on a clock that also counts suspended time. No byte is sent after it.
+        timestamp send_until;
         callback done;
     };
 
@@ -79,6 +82,7 @@
 
     asio::io_context& context_;
     const http_client_settings settings_;
+    const system_clock_source time_;
     // Used on the I/O thread only.
     std::map<http_endpoint, pool> pools_;
     bool closed_ = false;
@@ -212,6 +216,11 @@
 
     void write()
     {
+        // The I/O thread may have been paused since the call was made.
+        if (client_->time_.now() >= call_->send_until) {
+            fail(http_errc::not_connected);
+            return;
+        }
         state_ = state::writing;
         sent_ = true;
         arm(call_->deadline);
@@ -402,6 +411,7 @@
     c->head = format_head(endpoint, request);
     c->body = std::move(request.body);
     c->deadline = steady::now() + timeout;
+    c->send_until = impl_->time_.now() + timeout;
     c->done = std::move(done);
     asio::post(impl_->context_, [self = impl_, c] { self->send(c); });
 }
--- a/src/plugins/jobs/job.cpp
+++ b/src/plugins/jobs/job.cpp
@@ -18,6 +18,15 @@
             open_tasks_by_step_.push_back(s.tasks);
     }
     critical_path_ = compute_critical_path(false);
+    if (!record_.spec.steps.empty())
+        smallest_need_ = counted_need(record_.spec.steps.front());
+    for (const step_spec& s : record_.spec.steps) {
+        const resources need = counted_need(s);
+        smallest_need_.milli_cpu = std::min(smallest_need_.milli_cpu, need.milli_cpu);
+        smallest_need_.memory_mib = std::min(smallest_need_.memory_mib, need.memory_mib);
+        smallest_need_.accelerators = std::min(smallest_need_.accelerators, need.accelerators);
+    }
+    update_remaining_work();
 }
 
 bool job::contains(const task_position& p) const
@@ -49,6 +58,7 @@
     t.run.reset();
     --open_;
     --open_tasks_by_step_[p.occurrence * record_.spec.steps.size() + p.step];
+    update_remaining_work();
     if (open_ == 0 && !is_final(state_))
         state_ = job_state::completed;
 }
@@ -76,6 +86,7 @@
         ++open_;
         ++open_tasks_by_step_[p.occurrence * record_.spec.steps.size() + p.step];
     });
+    update_remaining_work();
     if (open_ == 0)
         state_ = job_state::completed;
     else if (started_)
@@ -99,12 +110,13 @@
         std::count_if(tasks_.begin(), tasks_.end(), [](const task& t) { return t.run.has_value(); }));
 }
 
-duration job::remaining_critical_path() const
+void job::update_remaining_work()
 {
-    return compute_critical_path(true);
+    remaining_critical_path_ = compute_critical_path(true);
+    open_work_core_seconds_ = compute_open_work();
 }
 
-double job::open_work_core_seconds() const
+double job::compute_open_work() const
 {
     double work = 0.0;
     const std::size_t steps = record_.spec.steps.size();
--- a/src/plugins/jobs/job.h
+++ b/src/plugins/jobs/job.h
@@ -37,8 +37,9 @@
     timestamp ordered_at;             ///< When the run was planned, or the latest start or stop was sent.
     timestamp answered_at; ///< When the target confirmed the latest order; the epoch if it has not.
     int pace_percent = 100;
-    bool order_pending = false; ///< Whether a start or stop of the run is in flight.
-    bool at_full_pace = false;  ///< Whether the target lists it as running at full pace.
+    bool on_known_target = false; ///< Whether the run is counted in the status of its target.
+    bool order_pending = false;   ///< Whether a start or stop of the run is in flight.
+    bool at_full_pace = false;    ///< Whether the target lists it as running at full pace.
 };
 
 struct task {
@@ -107,9 +108,11 @@
     /// Returns the sum of declared run times along the critical path through the steps of an occurrence.
     [[nodiscard]] duration critical_path() const { return critical_path_; }
     /// Returns the same sum over those steps that are not done in the first occurrence.
-    [[nodiscard]] duration remaining_critical_path() const;
+    [[nodiscard]] duration remaining_critical_path() const { return remaining_critical_path_; }
     /// Returns the declared core-seconds of the tasks that are not done.
-    [[nodiscard]] double open_work_core_seconds() const;
+    [[nodiscard]] double open_work_core_seconds() const { return open_work_core_seconds_; }
+    /// Returns, for each kind of resource, the smallest amount that a task of any step reserves.
+    [[nodiscard]] const resources& smallest_need() const { return smallest_need_; }
     [[nodiscard]] bool permanent() const { return permanent_; }
 
     /// Returns the state that callers may be told. A final state is shown only once the store has it: until
@@ -126,6 +129,9 @@
         return p.occurrence * tasks_per_occurrence_ + step_offsets_[p.step] + p.index;
     }
     [[nodiscard]] duration compute_critical_path(bool open_only) const;
+    [[nodiscard]] double compute_open_work() const;
+    /// Recomputes what depends on which tasks are done.
+    void update_remaining_work();
 
     job_record record_;
     std::vector<task> tasks_;
@@ -134,6 +140,9 @@
     std::size_t tasks_per_occurrence_ = 0;
     std::size_t open_ = 0;
     duration critical_path_{0};
+    duration remaining_critical_path_{0};
+    double open_work_core_seconds_ = 0.0;
+    resources smallest_need_;
     job_state state_ = job_state::pending;
     bool started_ = false;
     bool cancelled_ = false;
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -22,7 +22,7 @@
                token,
                {[this](const std::vector<progress_write>& writes) {
                     scheduler_.on_stored(writes, now());
-                    plan_and_send();
+                    request_pass();
                 },
                 [this](const std::string& why) {
                     stopped_ = true;
@@ -55,7 +55,7 @@
     h.on_snapshot = [this](const std::vector<target_info>& targets) { on_targets(targets); };
     h.on_target = [this](const target_info& info) {
         scheduler_.set_target(info, now());
-        plan_and_send();
+        request_pass();
     };
     h.on_removed = [this](const target_id& id) { scheduler_.unlist_target(id, now()); };
     services_.directory.open(std::move(h));
@@ -136,7 +136,7 @@
     h.on_change = [this](const store_change& change) {
         if (!change.removed)
             on_inbox(change.entry);
-        plan_and_send();
+        request_pass();
     };
     h.on_store_reachability = [this](tl::expected<void, store_errc> reachability) {
         log_store_reachability(services_.log, "inbox", reachability);
@@ -164,7 +164,7 @@
     if (hosts_)
         hosts_->set_waves(waves_);
     stored_progress_.clear();
-    plan_and_send();
+    request_pass();
 }
 
 void job_leader::on_inbox(const kv_entry& entry)
@@ -209,7 +209,7 @@
     for (const target_id& id : missing)
         scheduler_.unlist_target(id, now());
     has_targets_ = true;
-    plan_and_send();
+    request_pass();
 }
 
 void job_leader::set_config(std::shared_ptr<const fleet_config> config)
@@ -217,7 +217,7 @@
     if (hosts_)
         hosts_->set_config(config);
     scheduler_.set_config(std::move(config));
-    plan_and_send();
+    request_pass();
 }
 
 void job_leader::set_waves(const std::map<std::string, maintenance_wave>& waves)
@@ -259,6 +259,17 @@
     plan_and_send();
 }
 
+void job_leader::request_pass()
+{
+    if (pass_requested_)
+        return;
+    pass_requested_ = true;
+    services_.callbacks.post(guarded([this] {
+        pass_requested_ = false;
+        plan_and_send();
+    }));
+}
+
 void job_leader::plan_and_send()
 {
     if (stopped_)
@@ -293,7 +304,7 @@
                                                          {"target", target},
                                                          {"error", name_of(answer.error())}});
                 scheduler_.on_start_answer(target, task, run, answer, now());
-                plan_and_send();
+                request_pass();
             }));
     } else if (const stop_command* stop = std::get_if<stop_command>(&command)) {
         services_.orders.stop(stop->target, stop->task, stop->run, token_,
@@ -307,7 +318,7 @@
                                                           {"error", name_of(answer.error())}});
                                   count_answer("stop", answer);
                                   scheduler_.on_stop_answer(target, task, run, answer, now());
-                                  plan_and_send();
+                                  request_pass();
                               }));
     } else if (const pace_command* pace = std::get_if<pace_command>(&command)) {
         services_.log.info("pace_changed", {{"task", to_string(pace->task)},
@@ -330,7 +341,7 @@
             scheduler_.ref_of(id), request,
             guarded([this, id, at](const tl::expected<target_report, order_errc>& report) {
                 scheduler_.on_report(id, report, at, now());
-                plan_and_send();
+                request_pass();
             }));
     }
 }
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/executor.h"
 #include "jobs/guarded_callback.h"
 #include "jobs/host_manager.h"
 #include "jobs/job_scheduler.h"
@@ -34,6 +35,7 @@
     target_orders& orders;
     target_directory& directory;
     host_operations* hosts; ///< Null where hosts can't be moved or maintained.
+    executor& callbacks; ///< Runs work on the leader's thread, after the work that is already queued there.
     const clock& time;
     logger log;
     metric_registry& metrics;
@@ -72,6 +74,9 @@
     void on_inbox_snapshot(const std::vector<kv_entry>& entries);
     void on_inbox(const kv_entry& entry);
     void on_targets(const std::vector<target_info>& targets);
+    /// Runs `plan_and_send` once all events that are already queued have been handled, so that its cost is
+    /// shared by them.
+    void request_pass();
     /// Plans, stores what has changed, and sends the commands and observations that are due.
     void plan_and_send();
     void send(const target_command& command);
@@ -109,6 +114,7 @@
     bool journal_opening_ = false;
     bool loaded_ = false;
     bool has_targets_ = false;
+    bool pass_requested_ = false;
     bool stopped_ = false;
 };
 
--- a/src/plugins/jobs/job_node.cpp
+++ b/src/plugins/jobs/job_node.cpp
@@ -50,7 +50,7 @@
         leader_ = std::make_unique<job_leader>(
             settings_.leader,
             job_leader_services{services_.store, services_.orders, services_.directory, services_.hosts,
-                                services_.time, services_.log, services_.metrics},
+                                services_.callbacks, services_.time, services_.log, services_.metrics},
             election_.token(), config_, [this] { return election_.lease_valid(); },
             [this](const std::string& why) {
                 step_down_reason_ = why;
--- a/src/plugins/jobs/job_node.h
+++ b/src/plugins/jobs/job_node.h
@@ -23,6 +23,7 @@
     target_directory& directory;
     host_operations* hosts; ///< Null where hosts can't be moved or maintained.
     leader_link& leader;
+    executor& callbacks; ///< Runs work on the node's thread, after the work that is already queued there.
     const clock& time;
     random_source& random;
     logger log;
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -21,22 +21,19 @@
                       std::move(reason), age_ms});
 }
 
-const queue_config* job_scheduler::queue_of(const job& j) const
-{
-    return config_->find_queue(j.record().queue);
-}
-
 void job_scheduler::resolve_service(open_job& open)
 {
     // Jobs of a queue that has been removed stay with the service for which they were accepted.
-    const queue_config* queue = queue_of(*open.state);
-    const service_id service = queue == nullptr ? open.state->record().service : queue->service;
+    open.queue = config_->find_queue(open.state->record().queue);
+    const service_id service = open.queue == nullptr ? open.state->record().service : open.queue->service;
+    note_changed(open); // The queue's objective may differ.
     if (service == open.service)
         return;
-    open_by_service_[open.service].erase(open.state->id());
+    unrank(open);
+    queues_[open.service].jobs.erase(open.state->id());
     open.service = service;
     if (!is_final(open.state->state()))
-        open_by_service_[service].insert(open.state->id());
+        queues_[service].jobs.emplace(open.state->id(), &open);
 }
 
 void job_scheduler::insert_job(std::unique_ptr<job> j)
@@ -105,7 +102,9 @@
     open_job* open = find_open(id);
     if (open == nullptr)
         return;
-    open_by_service_[open->service].erase(id);
+    unrank(*open);
+    std::erase(changed_jobs_, open);
+    queues_[open->service].jobs.erase(id);
     jobs_with_runs_.erase(id);
     dirty_.erase(id);
     jobs_.erase(id);
@@ -130,9 +129,9 @@
 std::size_t job_scheduler::waiting_jobs(const queue_id& queue) const
 {
     std::size_t n = 0;
-    for (const auto& [service, open] : open_by_service_) {
-        n += static_cast<std::size_t>(std::count_if(open.begin(), open.end(), [&](const job_id& id) {
-            const job& j = *jobs_.at(id).state;
+    for (const auto& [service, it] : queues_) {
+        n += static_cast<std::size_t>(std::count_if(it.jobs.begin(), it.jobs.end(), [&](const auto& entry) {
+            const job& j = *entry.second->state;
             return j.record().queue == queue && !j.started() && !j.cancelled();
         }));
     }
@@ -151,6 +150,10 @@
 {
     const bool added = !targets_.contains(info.id);
     target_status& t = targets_[info.id];
+    // Most entries are heartbeats, which change nothing that planning depends on.
+    const bool usable_before = !added && t.listed && t.info.state == info.state &&
+                               t.info.service == info.service && t.info.capacity == info.capacity &&
+                               t.info.incarnation == info.incarnation;
     if (added) {
         t.lease_until =
             created_at_ +
@@ -160,12 +163,15 @@
         t.next_observation = time.now;
         t.info.id = info.id;
         account_restored_runs(t);
+        targets_by_service_[info.service].emplace(info.id, &t);
         log_event(scheduler_event::target_added, {}, nullptr, 0, info.id, info.service.str());
     } else if (t.info.state != info.state || t.info.service != info.service || !t.listed) {
         log_event(scheduler_event::target_changed, {}, nullptr, 0, info.id,
                   info.state == target_state::draining ? "draining" : "ready");
     }
     const target_incarnation known = t.info.incarnation;
+    if (!added)
+        set_service_of_target(t, info.service);
     t.info = info;
     if (!added) {
         t.info.incarnation = known;
@@ -178,18 +184,28 @@
     t.listed = true;
     t.cordoned = cordons_.contains(info.host);
     t.maintained_soon = maintained_soon_.contains(info.host);
-    plan_needed_.insert(info.service);
+    if (!usable_before)
+        plan_needed_.insert(info.service);
+}
+
+void job_scheduler::set_service_of_target(target_status& t, const service_id& service)
+{
+    if (t.info.service == service)
+        return;
+    targets_by_service_[t.info.service].erase(t.info.id);
+    targets_by_service_[service].emplace(t.info.id, &t);
 }
 
 void job_scheduler::account_restored_runs(target_status& t)
 {
-    for (const job_id& id : jobs_with_runs_) {
-        job& j = *jobs_.at(id).state;
-        j.for_open_tasks([&t, &j](const task_position& p, const task& it) {
+    for (const auto& [id, open] : jobs_with_runs_) {
+        job& j = *open->state;
+        j.for_open_tasks([&t, &j](const task_position& p, task& it) {
             if (!it.run || it.run->target != t.info.id)
                 return;
             t.used += counted_need(j.step(p.step));
             t.runs.insert({j.id(), p});
+            it.run->on_known_target = true;
         });
     }
 }
@@ -222,16 +238,18 @@
     dirty_.insert(j.id());
 }
 
-void job_scheduler::reserve_capacity(open_job& open, const task_position& p, const task_run& run)
+void job_scheduler::reserve_capacity(open_job& open, const task_position& p, task_run& run)
 {
     const step_spec& step = open.state->step(p.step);
     team_use_[open.state->record().team] += step.need;
-    jobs_with_runs_.insert(open.state->id());
+    jobs_with_runs_.emplace(open.state->id(), &open);
+    note_changed(open);
     ++open.active_runs;
     ++open.step_runs[p.step][run.target];
     if (target_status* t = find_target(run.target)) {
         t->used += counted_need(step);
         t->runs.insert({open.state->id(), p});
+        run.on_known_target = true;
     }
 }
 
@@ -239,6 +257,7 @@
 {
     const step_spec& step = open.state->step(p.step);
     team_use_[open.state->record().team] -= step.need;
+    note_changed(open);
     if (--open.active_runs == 0)
         jobs_with_runs_.erase(open.state->id());
     std::map<target_id, std::uint32_t>& by_target = open.step_runs[p.step];
@@ -270,6 +289,7 @@
 void job_scheduler::after_change(open_job& open, scheduler_time time)
 {
     job& j = *open.state;
+    note_changed(open);
     if (is_final(j.state()) || j.cancelled()) {
         j.for_open_tasks([&](const task_position& p, task& t) {
             if (!t.run)
@@ -287,7 +307,7 @@
         if (is_final(j.state()))
             mark_changed(j);
     }
-    if (is_final(j.state()) && open_by_service_[open.service].erase(j.id()) > 0) {
+    if (is_final(j.state()) && queues_[open.service].jobs.erase(j.id()) > 0) {
         j.final_change = j.last_change;
         log_event(scheduler_event::job_finished, j.id(), nullptr, 0, {}, std::string{name_of(j.state())},
                   time.unix_ms - j.record().accepted_ms);
@@ -344,9 +364,14 @@
                 order_start(*open, p, time);
         });
     }
-    for (auto& [id, t] : targets_) {
-        if (!t.unstored.empty())
-            drop_stored_ends(t);
+    for (auto it = with_unstored_ends_.begin(); it != with_unstored_ends_.end();) {
+        target_status* const t = find_target(*it);
+        if (t != nullptr)
+            drop_stored_ends(*t);
+        if (t == nullptr || t->unstored.empty())
+            it = with_unstored_ends_.erase(it);
+        else
+            ++it;
     }
 }
 
@@ -388,14 +413,32 @@
     }
     std::erase_if(targets_, [&](const auto& entry) {
         const target_status& t = entry.second;
-        return !t.listed && t.runs.empty() && !t.observing && time.now > t.lease_until;
+        if (t.listed || !t.runs.empty() || t.observing || time.now <= t.lease_until)
+            return false;
+        targets_by_service_[t.info.service].erase(entry.first);
+        return true;
     });
-    move_off_draining_targets(time);
+    if (time.now >= next_run_check_) {
+        next_run_check_ = time.now + settings_.run_check_interval;
+        move_off_draining_targets(time);
+        check_runs(time);
+        move_stragglers(time);
+    }
+    // No event tells when a failed task may start again, a target is no longer avoided, or an occurrence is
+    // due.
+    if (time.now >= next_full_plan_) {
+        next_full_plan_ = time.now + settings_.full_plan_interval;
+        plan_all_services();
+    }
+}
+
+void job_scheduler::check_runs(scheduler_time time)
+{
     for_tasks_with_runs([&](open_job& open, const task_position& p, task& t) {
         if (t.run->order_pending)
             return;
         // The run was restored from the store, and its target has not been listed since.
-        if (!targets_.contains(t.run->target)) {
+        if (!t.run->on_known_target) {
             if (time.now > created_at_ + settings_.longest_lease + settings_.lease_margin * 2)
                 discard_run(open, p, "target unknown", time);
             return;
@@ -405,22 +448,12 @@
             time.now - t.run->ordered_at > settings_.stop_retry)
             send_stop({open.state->id(), p}, *t.run, time.now);
     });
-    if (time.now >= next_straggler_check_) {
-        next_straggler_check_ = time.now + settings_.straggler_interval;
-        move_stragglers(time);
-    }
-    // No event tells when a failed task may start again, a target is no longer avoided, or an occurrence is
-    // due.
-    if (time.now >= next_full_plan_) {
-        next_full_plan_ = time.now + settings_.full_plan_interval;
-        plan_all_services();
-    }
 }
 
 void job_scheduler::plan_all_services()
 {
-    for (const auto& [service, open] : open_by_service_) {
-        if (!open.empty())
+    for (const auto& [service, queue] : queues_) {
+        if (!queue.jobs.empty())
             plan_needed_.insert(service);
     }
 }
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -197,14 +198,35 @@
 private:
     struct open_job {
         std::unique_ptr<job> state;
+        const queue_config* queue = nullptr; ///< Null if the queue is no longer configured.
         service_id service;
         std::size_t active_runs = 0;
+        std::optional<work_rank> waiting_rank; ///< Rank under which the job is in its service's queue.
+        bool changed = false;                  ///< Whether the job is in `changed_jobs_`.
         /// By step: number of runs on each target.
         std::vector<std::map<target_id, std::uint32_t>> step_runs;
         std::vector<step_times> times; ///< By step: run times of tasks that are done.
     };
 
-    struct ranked_job;
+    struct ranked_job {
+        work_rank rank;
+        open_job* open = nullptr;
+        [[nodiscard]] bool operator<(const ranked_job& other) const
+        {
+            if (rank < other.rank || other.rank < rank)
+                return rank < other.rank;
+            return open->state->id() < other.open->state->id();
+        }
+    };
+    /// The open jobs of a service, and the order in which its waiting tasks are planned.
+    struct service_queue {
+        std::map<job_id, open_job*> jobs; ///< Jobs that are not in a final state.
+        std::set<ranked_job> waiting;     ///< Those of them that have tasks without a run.
+        /// No task of a waiting job needs less than this of any kind of resource.
+        resources smallest_need;
+        std::int64_t ranks_valid_until_ms = 0; ///< When the first rank in `waiting` changes.
+        timestamp next_ranking;
+    };
     class unsatisfiable_needs;
 
     // job_scheduler.cpp
@@ -214,8 +236,7 @@
     /// Counts a change of the job that must be stored.
     void mark_changed(job& j);
     void resolve_service(open_job& open);
-    [[nodiscard]] const queue_config* queue_of(const job& j) const;
-    void reserve_capacity(open_job& open, const task_position& p, const task_run& run);
+    void reserve_capacity(open_job& open, const task_position& p, task_run& run);
     void release_capacity(open_job& open, const task_position& p, const task_run& run);
     /// Adds the runs that were restored before their target was listed to the target's used capacity.
     void account_restored_runs(target_status& t);
@@ -228,18 +249,23 @@
     [[nodiscard]] target_status* find_target(const target_id& id);
     [[nodiscard]] open_job* find_open(const job_id& id);
     void discard_runs_of_target(target_status& t, const char* reason, scheduler_time time);
+    void set_service_of_target(target_status& t, const service_id& service);
+    /// Discards restored runs whose target is unknown, and repeats stops without an answer.
+    void check_runs(scheduler_time time);
     void move_off_draining_targets(scheduler_time time);
 
     /// Calls `visit(job, position, task)` for each task that has a run. The visitor may end the run.
     template <typename Visit>
     void for_tasks_with_runs(Visit visit)
     {
-        const std::set<job_id> with_runs = jobs_with_runs_;
-        for (const job_id& id : with_runs) {
-            open_job& open = jobs_.at(id);
-            open.state->for_open_tasks([&](const task_position& p, task& t) {
+        std::vector<open_job*> with_runs;
+        with_runs.reserve(jobs_with_runs_.size());
+        for (const auto& [id, open] : jobs_with_runs_)
+            with_runs.push_back(open);
+        for (open_job* open : with_runs) {
+            open->state->for_open_tasks([&](const task_position& p, task& t) {
                 if (t.run)
-                    visit(open, p, t);
+                    visit(*open, p, t);
             });
         }
     }
@@ -256,6 +282,15 @@
         }
     }
 
+    // scheduler_queue.cpp
+    /// Notes that the job's waiting tasks may have changed; `update_queues` then ranks it again.
+    void note_changed(open_job& open);
+    void update_queues(scheduler_time time);
+    void rank(service_queue& queue, open_job& open, scheduler_time time);
+    void unrank(open_job& open);
+    /// Ranks all waiting jobs of the queue again if the order may depend on the time that has passed.
+    void refresh_ranks(service_queue& queue, scheduler_time time);
+
     // scheduler_hosts.cpp
     void add_demand(const open_job& open, pool_demand& demand) const;
     /// Whether the predicate is true for the step of any run on the target.
@@ -268,7 +303,7 @@
     void on_host_down(target_status& t, scheduler_time time);
 
     // scheduler_plan.cpp
-    void plan_pool(const service_id& service, const std::set<job_id>& jobs, scheduler_time time);
+    void plan_pool(const service_id& service, service_queue& queue, scheduler_time time);
     void plan_job(open_job& open, const std::vector<target_status*>& pool, unsatisfiable_needs& unsatisfiable,
                   scheduler_time time);
     void plan_step(open_job& open, std::uint32_t occurrence, std::uint32_t number,
@@ -324,17 +359,20 @@
     const log_handler log_handler_;
     std::shared_ptr<const fleet_config> config_;
     std::map<job_id, open_job> jobs_;
-    std::map<service_id, std::set<job_id>> open_by_service_; ///< Jobs that are not in a final state.
+    std::map<service_id, service_queue> queues_;
+    std::vector<open_job*> changed_jobs_;
     std::map<target_id, target_status> targets_;
+    std::map<service_id, std::map<target_id, target_status*>> targets_by_service_;
+    std::set<target_id> with_unstored_ends_; ///< Targets whose ends the store may not have.
     std::map<team_id, resources> team_use_;
-    std::set<job_id> jobs_with_runs_; ///< Jobs that have runs.
-    std::set<job_id> dirty_;          ///< Jobs with changes that the store does not have.
+    std::map<job_id, open_job*> jobs_with_runs_;
+    std::set<job_id> dirty_; ///< Jobs with changes that the store does not have.
     std::set<std::string> cordons_;
     std::set<std::string> maintained_soon_;
     std::vector<target_command> commands_;
     std::set<service_id> plan_needed_; ///< Services whose jobs, targets or free capacity have changed.
     timestamp next_full_plan_;
-    timestamp next_straggler_check_;
+    timestamp next_run_check_;
     bool superseded_ = false;
 };
 
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -15,9 +15,9 @@
 
 bool may_run(const target_status& t, const placement_request& request, timestamp now)
 {
-    if (!accepts_work(t, now))
-        return false;
     const step_spec& step = *request.step;
+    if (!has_capacity(t, step) || !accepts_work(t, now))
+        return false;
     if (!step.required_label.empty() &&
         std::find(t.info.labels.begin(), t.info.labels.end(), step.required_label) == t.info.labels.end())
         return false;
@@ -26,7 +26,7 @@
         if (it != request.step_runs->end() && it->second >= step.max_per_target)
             return false;
     }
-    return has_capacity(t, step);
+    return true;
 }
 
 double cost(const target_status& t, const placement_request& request)
@@ -45,7 +45,7 @@
     }
     if (step.permanent && t.maintained_soon)
         result += maintained_soon_penalty;
-    if (t.info.id == request.avoided_target)
+    if (!request.avoided_target.empty() && t.info.id == request.avoided_target)
         result += avoided_penalty;
     return result;
 }
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -83,13 +83,12 @@
 pool_demand job_scheduler::demand_of(const service_id& service) const
 {
     pool_demand demand;
-    const auto open = open_by_service_.find(service);
-    if (open == open_by_service_.end())
+    const auto queue = queues_.find(service);
+    if (queue == queues_.end())
         return demand;
-    for (const job_id& id : open->second) {
-        const open_job& it = jobs_.at(id);
-        if (!it.state->cancelled())
-            add_demand(it, demand);
+    for (const auto& [id, it] : queue->second.jobs) {
+        if (!it->state->cancelled())
+            add_demand(*it, demand);
     }
     return demand;
 }
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -45,48 +45,37 @@
     std::vector<resources> needs_; ///< No need in it fits in another one.
 };
 
-struct job_scheduler::ranked_job {
-    work_rank rank;
-    open_job* open = nullptr;
-};
-
 void job_scheduler::plan(scheduler_time time)
 {
+    update_queues(time);
     const std::set<service_id> services = std::exchange(plan_needed_, {});
     for (const service_id& service : services) {
-        const auto open = open_by_service_.find(service);
-        if (open != open_by_service_.end() && !open->second.empty())
-            plan_pool(service, open->second, time);
+        const auto queue = queues_.find(service);
+        if (queue != queues_.end() && !queue->second.waiting.empty())
+            plan_pool(service, queue->second, time);
     }
 }
 
-void job_scheduler::plan_pool(const service_id& service, const std::set<job_id>& jobs, scheduler_time time)
+void job_scheduler::plan_pool(const service_id& service, service_queue& queue, scheduler_time time)
 {
     std::vector<target_status*> pool;
-    for (auto& [id, t] : targets_) {
-        if (t.info.service == service && accepts_work(t, time.now))
-            pool.push_back(&t);
+    for (const auto& [id, t] : targets_by_service_[service]) {
+        if (accepts_work(*t, time.now))
+            pool.push_back(t);
     }
     if (pool.empty())
         return;
-    std::vector<ranked_job> ranked;
-    for (const job_id& id : jobs) {
-        open_job& open = jobs_.at(id);
-        const job& j = *open.state;
-        if (j.cancelled() || is_final(j.state()) || j.open_tasks() == open.active_runs)
-            continue;
-        const queue_config* queue = queue_of(j);
-        const job_objective objective =
-            objective_of(j, j.record().accepted_ms, queue == nullptr ? 1.0 : queue->stretch,
-                         queue == nullptr ? duration{0} : queue->objective_allowance);
-        ranked.push_back(
-            {rank_job(j, queue == nullptr ? 0 : queue->priority, objective, time.unix_ms), &open});
-    }
-    std::sort(ranked.begin(), ranked.end(),
-              [](const ranked_job& a, const ranked_job& b) { return a.rank < b.rank; });
     unsatisfiable_needs unsatisfiable{pool};
-    for (const ranked_job& it : ranked)
-        plan_job(*it.open, pool, unsatisfiable, time);
+    if (unsatisfiable.covers(queue.smallest_need))
+        return;
+    refresh_ranks(queue, time);
+    // Planning a job changes its rank only at the next `update_queues`.
+    for (const ranked_job& it : queue.waiting) {
+        if (unsatisfiable.covers(queue.smallest_need))
+            return;
+        if (!unsatisfiable.covers(it.open->state->smallest_need()))
+            plan_job(*it.open, pool, unsatisfiable, time);
+    }
 }
 
 void job_scheduler::plan_job(open_job& open, const std::vector<target_status*>& pool,
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -259,6 +259,7 @@
     }
     mark_changed(j);
     t.unstored.push_back({end.sequence, j.id(), j.last_change});
+    with_unstored_ends_.insert(t.info.id);
     after_change(*open, time);
 }
 
@@ -267,8 +268,7 @@
 {
     job& j = *open.state;
     task& it = j.at(p);
-    const queue_config* queue = queue_of(j);
-    j.fail_task(p, queue == nullptr ? settings_.default_attempts : queue->max_attempts);
+    j.fail_task(p, open.queue == nullptr ? settings_.default_attempts : open.queue->max_attempts);
     it.avoided_target = t.info.id;
     const std::size_t doublings = std::min<std::size_t>(it.failures - 1, max_backoff_doublings);
     it.not_before = time.now + settings_.failure_backoff * (1U << doublings);
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -43,8 +43,11 @@
     duration unreachable_retry{std::chrono::milliseconds{300}};
     /// Interval at which all waiting tasks are planned, even without an event that requires it.
     duration full_plan_interval{std::chrono::milliseconds{60}};
-    /// Interval between two checks for stalled tasks; a small part of the shortest tasks' run time.
-    duration straggler_interval{std::chrono::milliseconds{100}};
+    /// Smallest interval between two rankings of all waiting jobs of a service.
+    duration ranking_interval{std::chrono::milliseconds{100}};
+    /// Interval between two checks of all runs, for stops without an answer and for stalled tasks; a small
+    /// part of the shortest tasks' run time.
+    duration run_check_interval{std::chrono::milliseconds{100}};
     straggler_settings stragglers;
     /// Maximum number of attempts of a task whose queue is no longer configured.
     std::uint32_t default_attempts = 2;
--- a/src/plugins/jobs/scheduler_stragglers.cpp
+++ b/src/plugins/jobs/scheduler_stragglers.cpp
@@ -24,9 +24,12 @@
                                scheduler_time time) const
 {
     const step_spec& step = open.state->step(p.step);
+    // Every kind of stalled run is older than this.
+    if (step.permanent || step.gang || run.answered_at == timestamp{} ||
+        time.now - run.answered_at <= settings_.stragglers.margin)
+        return false;
     const auto target = targets_.find(run.target);
-    if (step.permanent || step.gang || target == targets_.end() || !target->second.reachable ||
-        run.answered_at == timestamp{})
+    if (target == targets_.end() || !target->second.reachable)
         return false;
     duration age = time.now - run.answered_at;
     if (step.rack_sensitive || (!step.data_rack.empty() && step.data_rack != target->second.info.rack.str()))
@@ -41,9 +44,9 @@
     task& t = open.state->at(p);
     target_status& here = targets_.at(t.run->target);
     std::vector<target_status*> others;
-    for (auto& [id, other] : targets_) {
-        if (other.info.service == open.service && id != t.run->target)
-            others.push_back(&other);
+    for (const auto& [id, other] : targets_by_service_[open.service]) {
+        if (id != t.run->target)
+            others.push_back(other);
     }
     if (choose_target(placement_of(open, p), others, time.now) == nullptr)
         return;
--- a/src/plugins/jobs/work_order.cpp
+++ b/src/plugins/jobs/work_order.cpp
@@ -1,5 +1,7 @@
 #include "jobs/work_order.h"
 
+#include <limits>
+
 namespace mjm {
 
 namespace {
@@ -35,9 +37,21 @@
         rank.level = urgency::in_time;
     else
         rank.level = earliest_end <= objective.useless_after_ms ? urgency::late : urgency::useless;
-    rank.tie_breaker = static_cast<double>(objective.due_ms - earliest_end) / 1000.0 +
+    rank.tie_breaker = static_cast<double>(objective.due_ms - to_ms(j.remaining_critical_path())) / 1000.0 +
                        j.open_work_core_seconds() / work_per_slack_second;
     return rank;
 }
 
+std::int64_t rank_valid_until(const job& j, const job_objective& objective, std::int64_t unix_ms)
+{
+    const std::int64_t remaining = to_ms(j.remaining_critical_path());
+    if (!j.permanent()) {
+        for (const std::int64_t limit : {objective.due_ms, objective.useless_after_ms}) {
+            if (unix_ms + remaining <= limit)
+                return limit - remaining;
+        }
+    }
+    return std::numeric_limits<std::int64_t>::max();
+}
+
 } // namespace mjm
--- a/src/plugins/jobs/work_order.h
+++ b/src/plugins/jobs/work_order.h
@@ -23,7 +23,9 @@
 struct work_rank {
     int priority = 0;
     urgency level = urgency::in_time;
-    double tie_breaker = 0.0; ///< Acceptance time if permanent, else slack plus open work; smaller first.
+    /// Acceptance time if permanent, else the latest start for the objective, as Unix time in seconds, plus
+    /// open work; smaller first.
+    double tie_breaker = 0.0;
 
     friend auto operator<=>(const work_rank&, const work_rank&) = default;
 };
@@ -35,6 +37,11 @@
 [[nodiscard]] work_rank rank_job(const job& j, int priority, const job_objective& objective,
                                  std::int64_t unix_ms);
 
+/// Returns the Unix time in ms after which `rank_job` gives the job another urgency; the largest value if it
+/// never does. Within an urgency, the order of two jobs doesn't depend on the time.
+[[nodiscard]] std::int64_t rank_valid_until(const job& j, const job_objective& objective,
+                                            std::int64_t unix_ms);
+
 /// Returns the objective of a job that was accepted at `from_ms`: the length of its critical path times
 /// `stretch`, plus `allowance`.
 [[nodiscard]] job_objective objective_of(const job& j, std::int64_t from_ms, double stretch,
