Start nothing on an old view, and write log lines in batches

Log lines cost 20 us a run on the caller's side and as much on the log's thread: each went through the library's event, a copy of it and a call to the output. Change: watches tell the time whose state they include; a run is neither planned nor ordered when the view of targets or of cancellations is older than the bound that the platform states, less 0.5 s, and the number of waiting jobs is refused when the view is older than 2 s. Lines are formatted once, and the log's thread writes up to 64 in one call. The test fixture of whole nodes destroys the node before its fakes.

--- a/src/libs/logging/log_sink.cpp
+++ b/src/libs/logging/log_sink.cpp
@@ -5,13 +5,14 @@
 #include <log4cplus/appender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
-#include <log4cplus/hierarchy.h>
+#include <log4cplus/helpers/timehelper.h>
 #include <log4cplus/layout.h>
-#include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <chrono>
 #include <ctime>
 #include <fstream>
@@ -24,150 +25,193 @@
 
 namespace {
 
-using log_event = log4cplus::spi::InternalLoggingEvent;
+// Most lines that are written in one call to the output, which bounds the memory that a batch takes.
+constexpr std::size_t max_batch_lines = 64;
 
-std::string json_text(std::string_view text)
+void append_text(std::string& out, std::string_view text)
 {
+    const bool plain = std::all_of(text.begin(), text.end(),
+                                   [](char c) { return c >= ' ' && c <= '~' && c != '"' && c != '\\'; });
+    if (plain) {
+        out += '"';
+        out += text;
+        out += '"';
+        return;
+    }
     // Text from callers may not be UTF-8; a strict writer would throw.
-    return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    out += nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-std::string json_text(const log_field& field)
+template <typename Integer>
+void append_integer(std::string& out, Integer value)
 {
-    if (is_confidential_field(field.key()))
-        return "\"[redacted]\"";
-    if (const std::string* text = std::get_if<std::string>(&field.value()))
-        return json_text(std::string_view{*text});
-    return std::visit([](const auto& value) { return nlohmann::json(value).dump(); }, field.value());
+    std::array<char, 24> buf{};
+    const std::to_chars_result end = std::to_chars(buf.data(), buf.data() + buf.size(), value);
+    out.append(buf.data(), end.ptr);
 }
 
-log4cplus::LogLevel library_level(log_level level)
+void append_value(std::string& out, const log_field& field)
 {
-    switch (level) {
-    case log_level::trace:
-        return log4cplus::TRACE_LOG_LEVEL;
-    case log_level::debug:
-        return log4cplus::DEBUG_LOG_LEVEL;
-    case log_level::info:
-        return log4cplus::INFO_LOG_LEVEL;
-    case log_level::warn:
-        return log4cplus::WARN_LOG_LEVEL;
-    case log_level::error:
-        return log4cplus::ERROR_LOG_LEVEL;
+    if (is_confidential_field(field.key())) {
+        out += "\"[redacted]\"";
+        return;
     }
-    return log4cplus::ERROR_LOG_LEVEL;
+    const log_field::value_type& value = field.value();
+    if (const std::string* text = std::get_if<std::string>(&value))
+        append_text(out, *text);
+    else if (const std::int64_t* number = std::get_if<std::int64_t>(&value))
+        append_integer(out, *number);
+    else if (const std::uint64_t* large = std::get_if<std::uint64_t>(&value))
+        append_integer(out, *large);
+    else if (const bool* flag = std::get_if<bool>(&value))
+        out += *flag ? "true" : "false";
+    else
+        out += nlohmann::json(std::get<double>(value)).dump();
 }
 
-log_level level_from_library(log4cplus::LogLevel level)
+/// Appends the time in the form 2026-01-31T12:00:00.000Z.
+void append_time(std::string& out, wall_time when)
 {
-    if (level >= log4cplus::ERROR_LOG_LEVEL)
-        return log_level::error;
-    if (level >= log4cplus::WARN_LOG_LEVEL)
-        return log_level::warn;
-    if (level >= log4cplus::INFO_LOG_LEVEL)
-        return log_level::info;
-    return level >= log4cplus::DEBUG_LOG_LEVEL ? log_level::debug : log_level::trace;
+    const std::chrono::seconds whole = std::chrono::floor<std::chrono::seconds>(when.time_since_epoch());
+    const std::time_t seconds = whole.count();
+    // Lines of the same second, which are most, share the costly part.
+    thread_local std::time_t formatted = -1;
+    thread_local std::array<char, 32> prefix{};
+    thread_local std::size_t length = 0;
+    if (seconds != formatted) {
+        std::tm parts{};
+        gmtime_r(&seconds, &parts);
+        length = std::strftime(prefix.data(), prefix.size(), "%Y-%m-%dT%H:%M:%S.", &parts);
+        formatted = seconds;
+    }
+    const auto ms = static_cast<int>((when.time_since_epoch() - whole).count());
+    out.append(prefix.data(), length);
+    out += static_cast<char>('0' + ms / 100);
+    out += static_cast<char>('0' + ms / 10 % 10);
+    out += static_cast<char>('0' + ms % 10);
+    out += 'Z';
 }
 
-std::string iso_time(std::chrono::system_clock::time_point when)
+std::string format_line(wall_time when, log_level level, std::string_view component, std::string_view event,
+                        std::span<const log_field> fields)
 {
-    const std::chrono::milliseconds since_epoch =
-        std::chrono::floor<std::chrono::milliseconds>(when.time_since_epoch());
-    const std::chrono::seconds whole = std::chrono::floor<std::chrono::seconds>(since_epoch);
-    const std::time_t seconds = whole.count();
-    std::tm parts{};
-    gmtime_r(&seconds, &parts);
-    std::array<char, 32> buf{};
-    const std::size_t n = std::strftime(buf.data(), buf.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-    const std::string fraction = std::to_string(1000 + (since_epoch - whole).count());
-    return std::string{buf.data(), n} + "." + fraction.substr(1) + "Z";
+    std::string out;
+    out.reserve(256);
+    out += R"({"time":")";
+    append_time(out, when);
+    out += R"(","level":")";
+    out += name_of(level);
+    out += R"(","component":)";
+    append_text(out, component);
+    out += R"(,"event":)";
+    append_text(out, event);
+    out += R"(,"fields":{)";
+    bool first = true;
+    for (const log_field& field : fields) {
+        if (!first)
+            out += ',';
+        first = false;
+        append_text(out, field.key());
+        out += ':';
+        append_value(out, field);
+    }
+    out += "}}";
+    return out;
 }
 
-/// The event's message already holds the members `event` and `fields`.
-class json_lines_layout final : public log4cplus::Layout {
+/// Writes the message of an event, which holds whole lines.
+class message_layout final : public log4cplus::Layout {
 public:
-    void formatAndAppend(log4cplus::tostream& output, const log_event& event) override
+    void formatAndAppend(log4cplus::tostream& output,
+                         const log4cplus::spi::InternalLoggingEvent& event) override
     {
-        output << R"({"time":")" << iso_time(event.getTimestamp()) << R"(","level":")"
-               << name_of(level_from_library(event.getLogLevel())) << R"(","component":)"
-               << json_text(std::string_view{event.getLoggerName()}) << "," << event.getMessage() << "}\n";
+        output << event.getMessage() << '\n';
     }
 };
 
-/// Hands formatted lines to a function.
-class function_appender final : public log4cplus::Appender {
+/// Where lines go. Used by the sink's thread only.
+class line_output {
 public:
-    explicit function_appender(std::function<void(const std::string&)> write) : write_{std::move(write)} {}
-    ~function_appender() override { destructorImpl(); }
-    function_appender(const function_appender&) = delete;
-    function_appender& operator=(const function_appender&) = delete;
-    void close() override { closed = true; }
-
-protected:
-    void append(const log_event& event) override
-    {
-        std::string line = formatEvent(event);
-        line.pop_back();
-        write_(line);
-    }
+    line_output() = default;
+    line_output(const line_output&) = delete;
+    line_output& operator=(const line_output&) = delete;
+    virtual ~line_output() = default;
+
+    /// Largest number of lines that `write` takes at a time, joined by line ends.
+    [[nodiscard]] virtual std::size_t batch_lines() const = 0;
+    virtual void write(const std::string& lines) = 0;
+};
+
+class function_output final : public line_output {
+public:
+    explicit function_output(std::function<void(const std::string&)> write) : write_{std::move(write)} {}
+    [[nodiscard]] std::size_t batch_lines() const override { return 1; }
+    void write(const std::string& lines) override { write_(lines); }
 
 private:
     std::function<void(const std::string&)> write_;
 };
 
-log_event make_event(const std::string& component, log_level level, const std::string& message,
-                     wall_time when)
-{
-    return log_event{component, library_level(level),
-                     "",        log4cplus::MappedDiagnosticContextMap{},
-                     message,   "",
-                     "",        std::chrono::time_point_cast<log4cplus::helpers::Time::duration>(when),
-                     "",        0};
-}
+class appender_output final : public line_output {
+public:
+    explicit appender_output(log4cplus::SharedAppenderPtr appender) : appender_{std::move(appender)}
+    {
+        appender_->setLayout(std::make_unique<message_layout>());
+    }
+    ~appender_output() override { appender_->close(); }
+    appender_output(const appender_output&) = delete;
+    appender_output& operator=(const appender_output&) = delete;
 
-/// Writes through another appender on its own thread. The library's AsyncAppender blocks when its queue is
-/// full, which would make a slow disk or pipe stall the threads that serve requests.
-class dropping_appender final : public log4cplus::Appender {
+    [[nodiscard]] std::size_t batch_lines() const override { return max_batch_lines; }
+    void write(const std::string& lines) override
+    {
+        appender_->doAppend(log4cplus::spi::InternalLoggingEvent{
+            "", log4cplus::INFO_LOG_LEVEL, "", log4cplus::MappedDiagnosticContextMap{}, lines, "", "",
+            log4cplus::helpers::now(), "", 0});
+    }
+
+private:
+    log4cplus::SharedAppenderPtr appender_;
+};
+
+/// Writes lines on its own thread. The library's AsyncAppender blocks when its queue is full, which would
+/// make a slow disk or pipe stall the threads that serve requests.
+class line_writer {
 public:
-    dropping_appender(log4cplus::SharedAppenderPtr output, std::size_t capacity, const clock& time)
+    line_writer(std::unique_ptr<line_output> output, std::size_t capacity, const clock& time)
         : output_{std::move(output)}, time_{time}, ring_{capacity}, thread_{[this] { run(); }}
     {
     }
-    ~dropping_appender() override { destructorImpl(); }
-    dropping_appender(const dropping_appender&) = delete;
-    dropping_appender& operator=(const dropping_appender&) = delete;
-
-    void close() override
+    ~line_writer()
     {
-        if (closed)
-            return;
-        closed = true;
         ring_.close();
         thread_.join();
-        output_->close();
     }
+    line_writer(const line_writer&) = delete;
+    line_writer& operator=(const line_writer&) = delete;
 
+    /// Drops and counts the line if the queue is full.
+    void push(std::string line) { static_cast<void>(ring_.try_push(line)); }
     [[nodiscard]] std::size_t dropped() const { return ring_.rejected(); }
 
-protected:
-    void append(const log_event& event) override
-    {
-        std::unique_ptr<log_event> copy = std::make_unique<log_event>(event);
-        if (!ring_.try_push(copy))
-            return; // Counted by the ring.
-    }
-
 private:
     void run()
     {
         // The ring returns nothing at once when it is closed and empty, and otherwise only after the wait.
         for (;;) {
-            std::optional<std::unique_ptr<log_event>> event = ring_.pop_for(std::chrono::hours{1});
-            if (!event && !ring_.closed())
+            std::optional<std::string> lines = ring_.pop_for(std::chrono::hours{1});
+            if (!lines && !ring_.closed())
                 continue;
-            if (!event)
+            if (!lines)
                 break;
-            output_->doAppend(**event);
+            for (std::size_t n = 1; n < output_->batch_lines(); ++n) {
+                const std::optional<std::string> next = ring_.try_pop();
+                if (!next)
+                    break;
+                *lines += '\n';
+                *lines += *next;
+            }
+            output_->write(*lines);
             report_drops();
         }
         report_drops();
@@ -178,63 +222,52 @@
         const std::size_t total = ring_.rejected();
         if (total == reported_)
             return;
-        const std::string message =
-            R"("event":"log_dropped","fields":{"dropped":)" + std::to_string(total - reported_) + "}";
+        const std::array<log_field, 1> fields{log_field{"dropped", total - reported_}};
         reported_ = total;
-        output_->doAppend(make_event("logging", log_level::warn, message, time_.wall_now()));
+        output_->write(format_line(time_.wall_now(), log_level::warn, "logging", "log_dropped", fields));
     }
 
-    log4cplus::SharedAppenderPtr output_;
+    std::unique_ptr<line_output> output_;
     const clock& time_;
-    bounded_ring<std::unique_ptr<log_event>> ring_;
+    bounded_ring<std::string> ring_;
     std::size_t reported_ = 0;
     std::thread thread_;
 };
 
-log4cplus::SharedAppenderPtr make_output(const log_settings& settings)
+std::unique_ptr<line_output> make_output(const log_settings& settings)
 {
+    // The library starts a pool of 4 threads when it is loaded, for its own asynchronous appenders, which are
+    // not used here. It cannot be made smaller than 1.
+    log4cplus::setThreadPoolSize(1);
+    log4cplus::SharedAppenderPtr appender;
     switch (settings.destination) {
     case log_destination::standard_output:
-        return log4cplus::SharedAppenderPtr{new log4cplus::ConsoleAppender{false, true}};
+        appender = new log4cplus::ConsoleAppender{false, true};
+        break;
     case log_destination::standard_error:
-        return log4cplus::SharedAppenderPtr{new log4cplus::ConsoleAppender{true, true}};
+        appender = new log4cplus::ConsoleAppender{true, true};
+        break;
     case log_destination::file:
+        // The library's appender only prints a message when it cannot open its file.
+        if (!std::ofstream{settings.file, std::ios::app})
+            throw std::runtime_error("cannot open log file " + settings.file);
+        appender = new log4cplus::FileAppender{settings.file, std::ios::app};
         break;
     }
-    // The library's appender only prints a message when it cannot open its file.
-    if (!std::ofstream{settings.file, std::ios::app})
-        throw std::runtime_error("cannot open log file " + settings.file);
-    return log4cplus::SharedAppenderPtr{new log4cplus::FileAppender{settings.file, std::ios::app}};
+    return std::make_unique<appender_output>(std::move(appender));
 }
 
 } // namespace
 
 class log_sink::impl {
 public:
-    impl(const log_settings& settings, const clock& source, const log4cplus::SharedAppenderPtr& output)
-        : time{source}
-    {
-        // The library starts a pool of 4 threads when it is loaded, for its own asynchronous appenders, which
-        // are not used here. It cannot be made smaller than 1.
-        log4cplus::setThreadPoolSize(1);
-        output->setLayout(std::make_unique<json_lines_layout>());
-        appender = new dropping_appender{output, settings.queue_capacity, time};
-        owner = log4cplus::SharedAppenderPtr{appender};
-        hierarchy.getRoot().setLogLevel(library_level(settings.level));
-        hierarchy.getRoot().addAppender(owner);
-    }
-    ~impl()
+    impl(const log_settings& settings, const clock& source, std::unique_ptr<line_output> output)
+        : time{source}, writer{std::move(output), settings.queue_capacity, source}
     {
-        appender->close();
-        hierarchy.getRoot().removeAllAppenders();
     }
-    impl(const impl&) = delete;
-    impl& operator=(const impl&) = delete;
 
     const clock& time;
-    log4cplus::Hierarchy hierarchy;
-    dropping_appender* appender = nullptr; ///< Owned by `owner`.
-    log4cplus::SharedAppenderPtr owner;
+    line_writer writer;
 };
 
 log_sink::log_sink(const log_settings& settings, const clock& time)
@@ -245,8 +278,7 @@
 log_sink::log_sink(const log_settings& settings, const clock& time,
                    std::function<void(const std::string&)> write)
     : level_{settings.level}, impl_{std::make_unique<impl>(
-                                  settings, time,
-                                  log4cplus::SharedAppenderPtr{new function_appender{std::move(write)}})}
+                                  settings, time, std::make_unique<function_output>(std::move(write)))}
 {
 }
 
@@ -257,21 +289,12 @@
 {
     if (!enabled(level))
         return;
-    std::string message = "\"event\":" + json_text(event) + ",\"fields\":{";
-    bool first = true;
-    for (const log_field& field : fields) {
-        message += first ? "" : ",";
-        message += json_text(field.key()) + ":" + json_text(field);
-        first = false;
-    }
-    message += "}";
-    impl_->hierarchy.getInstance(component).log(
-        make_event(component, level, message, impl_->time.wall_now()));
+    impl_->writer.push(format_line(impl_->time.wall_now(), level, component, event, fields));
 }
 
 std::uint64_t log_sink::dropped() const
 {
-    return impl_->appender->dropped();
+    return impl_->writer.dropped();
 }
 
 } // namespace mjm
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -21,6 +21,7 @@
                services_.time,
                token,
                {[this](const std::vector<progress_write>& writes) {
+                    update_view_times();
                     scheduler_.on_stored(writes, now());
                     request_pass();
                 },
@@ -259,6 +260,11 @@
     plan_and_send();
 }
 
+void job_leader::update_view_times()
+{
+    scheduler_.set_view_times(services_.directory.view_time(), inbox_ ? inbox_->view_time() : timestamp{});
+}
+
 void job_leader::request_pass()
 {
     if (pass_requested_)
@@ -281,6 +287,7 @@
     }
     if (!loaded_ || !has_targets_)
         return;
+    update_view_times();
     if (journal_.idle()) {
         scheduler_.plan(now());
         if (scheduler_.has_unstored())
@@ -393,6 +400,8 @@
 {
     if (!loaded_)
         return tl::unexpected{leader_errc::loading};
+    if (services_.time.now() - inbox_->view_time() > settings_.max_count_age)
+        return tl::unexpected{leader_errc::falls_behind};
     return scheduler_.waiting_jobs(queue);
 }
 
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -26,6 +26,8 @@
     host_manager_settings hosts;
     /// Jobs in a final state are removed after this long. Until then callers may ask for their state.
     duration retention{std::chrono::seconds{180}};
+    /// Largest age of the view of accepted jobs with which the number of waiting jobs is told.
+    duration max_count_age{std::chrono::milliseconds{2000}};
     /// Delay before a failed read is repeated while taking over.
     duration retry{std::chrono::milliseconds{150}};
 };
@@ -41,7 +43,7 @@
     metric_registry& metrics;
 };
 
-enum class leader_errc { loading, unknown_job };
+enum class leader_errc { loading, unknown_job, falls_behind };
 
 /// One term of leadership: takes over the stored jobs, schedules them, and stores their progress.
 class job_leader {
@@ -63,7 +65,7 @@
     [[nodiscard]] bool loaded() const { return loaded_; }
     /// Returns the state of a job as callers see it.
     [[nodiscard]] tl::expected<job_state, leader_errc> state_of(const job_id& id) const;
-    /// Returns the number of waiting jobs of a queue.
+    /// Returns the number of waiting jobs of a queue. Fails if this leader may not know of recent ones.
     [[nodiscard]] tl::expected<std::size_t, leader_errc> waiting_jobs(const queue_id& queue) const;
 
 private:
@@ -77,6 +79,7 @@
     /// Runs `plan_and_send` once all events that are already queued have been handled, so that its cost is
     /// shared by them.
     void request_pass();
+    void update_view_times();
     /// Plans, stores what has changed, and sends the commands and observations that are due.
     void plan_and_send();
     void send(const target_command& command);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -141,6 +141,9 @@
     void set_target(const target_info& info, scheduler_time time);
     /// Handles that service discovery no longer has an entry for the target.
     void unlist_target(const target_id& id, scheduler_time time);
+    /// Sets the times whose targets and cancellations this scheduler knows. A scheduler that falls behind
+    /// starts no run with an old view.
+    void set_view_times(timestamp targets, timestamp cancellations);
     /// Sets the hosts that take no new work, and the hosts that will be maintained soon. The latter get
     /// permanent tasks only if no other host has free capacity.
     void set_cordons(const std::set<std::string>& cordoned, const std::set<std::string>& maintained_soon);
@@ -303,6 +306,8 @@
     void on_host_down(target_status& t, scheduler_time time);
 
     // scheduler_plan.cpp
+    /// Whether the views of the targets and of the cancellations are recent enough for starts.
+    [[nodiscard]] bool may_start(timestamp now) const;
     void plan_pool(const service_id& service, service_queue& queue, scheduler_time time);
     void plan_job(open_job& open, const std::vector<target_status*>& pool, unsatisfiable_needs& unsatisfiable,
                   scheduler_time time);
@@ -373,6 +378,8 @@
     std::set<service_id> plan_needed_; ///< Services whose jobs, targets or free capacity have changed.
     timestamp next_full_plan_;
     timestamp next_run_check_;
+    timestamp targets_known_at_;
+    timestamp cancellations_known_at_;
     bool superseded_ = false;
 };
 
--- a/src/plugins/jobs/prefix_watch.cpp
+++ b/src/plugins/jobs/prefix_watch.cpp
@@ -30,11 +30,15 @@
 
     void end() { ended_ = true; }
     [[nodiscard]] timestamp last_answer_at() const { return last_answer_at_; }
+    [[nodiscard]] timestamp view_time() const { return view_time_; }
 
 private:
     void list_next()
     {
         busy_ = true;
+        // The watch that follows repeats what changes while further pages are read.
+        if (after_.empty())
+            sent_at_ = time_.now();
         store_.list(settings_.prefix, after_,
                     [self = shared_from_this()](const tl::expected<store_page, store_errc>& page) {
                         self->busy_ = false;
@@ -62,6 +66,7 @@
         }
         after_.clear();
         reload_ = false;
+        view_time_ = sent_at_;
         const std::vector<kv_entry> entries = std::exchange(snapshot_, {});
         handler_.on_snapshot(entries);
         if (!ended_)
@@ -71,6 +76,7 @@
     void watch_next()
     {
         busy_ = true;
+        sent_at_ = time_.now();
         store_.watch(settings_.prefix, revision_, settings_.wait,
                      [self = shared_from_this()](const tl::expected<store_changes, store_errc>& changes) {
                          self->busy_ = false;
@@ -90,6 +96,7 @@
         on_answer();
         revision_ = std::max(revision_, changes->revision);
         if (!reload_) {
+            view_time_ = sent_at_;
             for (const store_change& it : changes->changes) {
                 if (ended_)
                     return;
@@ -130,6 +137,8 @@
     store_revision revision_ = 0;
     timestamp not_before_;
     timestamp last_answer_at_;
+    timestamp sent_at_; ///< When the call in flight, or the listing that it continues, was sent.
+    timestamp view_time_;
     bool busy_ = false;
     bool reload_ = true;
     bool store_reachable_ = true;
@@ -157,6 +166,11 @@
     impl_->reload();
 }
 
+timestamp prefix_watch::view_time() const
+{
+    return impl_->view_time();
+}
+
 timestamp prefix_watch::last_answer_at() const
 {
     return impl_->last_answer_at();
--- a/src/plugins/jobs/prefix_watch.h
+++ b/src/plugins/jobs/prefix_watch.h
@@ -41,6 +41,9 @@
     void reload();
     /// Returns when the store last answered.
     [[nodiscard]] timestamp last_answer_at() const;
+    /// Returns the time whose state everything reported so far includes: when the latest answered call was
+    /// sent. The epoch before the first snapshot.
+    [[nodiscard]] timestamp view_time() const;
 
 private:
     class impl;
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -48,6 +48,8 @@
 void job_scheduler::plan(scheduler_time time)
 {
     update_queues(time);
+    if (!may_start(time.now))
+        return;
     const std::set<service_id> services = std::exchange(plan_needed_, {});
     for (const service_id& service : services) {
         const auto queue = queues_.find(service);
@@ -56,6 +58,18 @@
     }
 }
 
+void job_scheduler::set_view_times(timestamp targets, timestamp cancellations)
+{
+    targets_known_at_ = targets;
+    cancellations_known_at_ = cancellations;
+}
+
+bool job_scheduler::may_start(timestamp now) const
+{
+    return now - targets_known_at_ <= settings_.max_target_view_age &&
+           now - cancellations_known_at_ <= settings_.max_cancel_view_age;
+}
+
 void job_scheduler::plan_pool(const service_id& service, service_queue& queue, scheduler_time time)
 {
     std::vector<target_status*> pool;
@@ -175,6 +189,10 @@
         discard_run(open, p, "target changed before the start", time);
         return;
     }
+    if (!may_start(time.now)) {
+        discard_run(open, p, "the view of targets or cancellations is too old", time);
+        return;
+    }
     const std::int64_t lease_ms = to_ms(settings_.target_lease);
     start_order order;
     order.task = {j.id(), p};
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -12,6 +12,12 @@
     /// longer than a change of leader takes, so that no change interrupts work. The platform's `hold-max-ms`
     /// is the upper limit.
     duration target_lease{std::chrono::milliseconds{4300}};
+    /// Largest age of the view of the targets with which a run may still start. Less than the time within
+    /// which starts must end on a target that is draining.
+    duration max_target_view_age{std::chrono::milliseconds{1500}};
+    /// Largest age of the view of cancellations with which a run may still start. Less than the time within
+    /// which a cancellation must take effect.
+    duration max_cancel_view_age{std::chrono::milliseconds{2500}};
     /// Longest lease that any leader may have granted; assumed for targets that have not answered yet.
     duration longest_lease{std::chrono::milliseconds{6000}};
     /// Fraction by which a target's clock may run slow, as specified by the platform's protocol.
--- a/src/plugins/jobs/target_directory.h
+++ b/src/plugins/jobs/target_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/time_types.h"
 #include "jobs/target_orders.h"
 
 #include <functional>
@@ -26,6 +27,8 @@
     virtual void open(handler h) = 0;
     virtual void close() = 0;
     virtual void tick() = 0;
+    /// Returns the time whose state the reports so far include; the epoch before the first snapshot.
+    [[nodiscard]] virtual timestamp view_time() const = 0;
 };
 
 } // namespace mjm
--- a/src/plugins/jobs/tests/fakes/fake_targets.h
+++ b/src/plugins/jobs/tests/fakes/fake_targets.h
@@ -127,19 +127,26 @@
 
 class fake_directory final : public target_directory {
 public:
-    explicit fake_directory(fake_fleet& fleet) : fleet_{fleet} {}
+    fake_directory(virtual_loop& loop, fake_fleet& fleet) : loop_{loop}, fleet_{fleet} {}
+
+    bool frozen = false; ///< Whether changes of targets are not reported.
 
     void open(handler h) override { handler_ = std::move(h); }
     void close() override { handler_ = {}; }
     void tick() override
     {
-        if (handler_.on_snapshot)
-            handler_.on_snapshot(fleet_.listed());
+        if (!handler_.on_snapshot || frozen)
+            return;
+        view_time_ = loop_.time().now();
+        handler_.on_snapshot(fleet_.listed());
     }
+    [[nodiscard]] timestamp view_time() const override { return view_time_; }
 
 private:
+    virtual_loop& loop_;
     fake_fleet& fleet_;
     handler handler_;
+    timestamp view_time_;
 };
 
 class fake_host_operations final : public host_operations {
--- a/src/plugins/jobs/tests/fakes/fake_transaction_store.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_transaction_store.cpp
@@ -184,6 +184,10 @@
             done(tl::unexpected{store_errc::not_found});
             return;
         }
+        if (watches_stuck) {
+            poll(prefix, after, until, done);
+            return;
+        }
         store_changes changes = store_.changes(prefix, after);
         if (!changes.changes.empty() || loop_.time().now() >= until)
             done(std::move(changes));
--- a/src/plugins/jobs/tests/fakes/fake_transaction_store.h
+++ b/src/plugins/jobs/tests/fakes/fake_transaction_store.h
@@ -62,6 +62,7 @@
     fake_store_link(virtual_loop& loop, fake_transaction_store& store) : loop_{loop}, store_{store} {}
 
     bool reachable = true;        ///< If false, calls have no effect and time out.
+    bool watches_stuck = false;   ///< If true, calls that watch for changes are not answered.
     std::size_t lost_commits = 0; ///< Number of next transactions that take effect without an answer.
     std::size_t late_commits = 0; ///< Number of next transactions that take effect late, without an answer.
     duration late_by{std::chrono::seconds{3}}; ///< Delay of the late transactions.
--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -18,7 +18,7 @@
 public:
     entry_host(virtual_loop& loop, fake_transaction_store& store, fake_fleet& fleet, const std::string& name,
                std::uint64_t seed)
-        : link{loop, store}, loop_{loop}, orders_{fleet}, directory_{fleet},
+        : link{loop, store}, loop_{loop}, orders_{fleet}, directory_{loop, fleet},
           operations_{loop, fleet}, random_{seed}, name_{name}
     {
         operations_.store = &store;
@@ -38,9 +38,9 @@
     void kill() { node.reset(); }
 
     fake_store_link link;
-    std::unique_ptr<job_node> node;
 
     [[nodiscard]] fake_host_operations& operations() { return operations_; }
+    [[nodiscard]] fake_directory& directory() { return directory_; }
 
 private:
     virtual_loop& loop_;
@@ -52,6 +52,10 @@
     log_sink sink_{log_settings{}, loop_.time(), [](const std::string&) {}};
     metric_registry metrics_;
     std::string name_;
+
+public:
+    /// Declared last, so that it is destroyed before the fakes that it calls.
+    std::unique_ptr<job_node> node;
 };
 
 class fleet_simulation {
@@ -360,3 +364,50 @@
         }
     }
 }
+
+TEST_CASE("a leader whose view of the targets is old starts no run")
+{
+    // Guards against a start on a target whose leaving the leader has not heard of.
+    fleet_simulation sim{31};
+    sim.run_for(3s);
+    entry_host* leader = sim.leader();
+    REQUIRE(leader != nullptr);
+    sim.submit("first", 2);
+    sim.run_for(1s);
+    CHECK(sim.fleet.starts > 0);
+
+    leader->directory().frozen = true;
+    sim.run_for(2s);
+    const std::size_t before = sim.fleet.starts;
+    sim.submit("second", 4);
+    sim.run_for(3s);
+    CHECK(sim.leader() == leader);
+    CHECK(sim.fleet.starts == before);
+
+    leader->directory().frozen = false;
+    sim.run_for(6s);
+    CHECK(sim.completed("second"));
+    CHECK(sim.fleet.violations.empty());
+}
+
+TEST_CASE("a leader that does not hear of the inbox starts no run and tells no number of waiting jobs")
+{
+    // Guards against starts of cancelled jobs, and against a number that leaves accepted jobs out.
+    fleet_simulation sim{32};
+    sim.run_for(3s);
+    entry_host* leader = sim.leader();
+    REQUIRE(leader != nullptr);
+    sim.submit("steps", 4);
+    sim.run_for(100ms);
+    CHECK(leader->node->leader()->waiting_jobs(queue_id{"q"}).has_value());
+
+    leader->link.watches_stuck = true;
+    sim.run_for(3s);
+    REQUIRE(sim.leader() == leader);
+    const std::size_t before = sim.fleet.starts;
+    const tl::expected<std::size_t, leader_errc> count = leader->node->leader()->waiting_jobs(queue_id{"q"});
+    REQUIRE_FALSE(count.has_value());
+    CHECK(count.error() == leader_errc::falls_behind);
+    sim.run_for(2s);
+    CHECK(sim.fleet.starts == before);
+}
--- a/src/tools/mjm_bench/leader_load.cpp
+++ b/src/tools/mjm_bench/leader_load.cpp
@@ -251,6 +251,7 @@
     }
     void close() override { handler_ = {}; }
     void tick() override {}
+    [[nodiscard]] timestamp view_time() const override { return loop_.time().now(); }
 
 private:
     void beat(std::size_t n, duration delay)
