--- a/src/libs/core/tests/tst_core.cpp
+++ b/src/libs/core/tests/tst_core.cpp
@@ -9,6 +9,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <ctime>
+
 using namespace mjm;
 
 TEST_CASE("a full ring rejects the item, counts it and leaves it with the producer")
@@ -101,3 +103,20 @@
         CHECK_FALSE(parse_integer<std::uint32_t>(text));
     }
 }
+
+TEST_CASE("the system's clock counts the time for which the machine was suspended")
+{
+    // Guards against a lease that seems valid on a host that has just woken up. It shows on machines that
+    // have been suspended since their start.
+    const auto boot_time = [] {
+        timespec t{};
+        clock_gettime(CLOCK_BOOTTIME, &t);
+        return std::chrono::seconds{t.tv_sec} + std::chrono::nanoseconds{t.tv_nsec};
+    };
+    const system_clock_source time;
+    const std::chrono::nanoseconds before = boot_time();
+    const duration now = time.now().time_since_epoch();
+    const std::chrono::nanoseconds after = boot_time();
+    CHECK(now >= std::chrono::floor<duration>(before));
+    CHECK(now <= after);
+}
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -168,6 +168,8 @@
     // Planning and storing.
     /// Chooses targets for waiting tasks. The runs start once their jobs' changes are stored.
     void plan(scheduler_time time);
+    /// Whether jobs, targets or free capacity have changed since the last `plan`.
+    [[nodiscard]] bool planning_needed() const { return !plan_needed_.empty(); }
     [[nodiscard]] bool has_unstored() const { return !dirty_.empty(); }
     /// Returns the progress of at most `most` jobs with changes that the store does not have.
     [[nodiscard]] std::vector<progress_write> unstored(std::size_t most) const;
--- a/src/plugins/jobs/tests/tst_job_decisions.cpp
+++ b/src/plugins/jobs/tests/tst_job_decisions.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 using namespace mjm;
 using namespace std::chrono_literals;
 
@@ -47,6 +49,31 @@
 
 } // namespace
 
+TEST_CASE("the order of two jobs of one urgency stays until the time at which a rank changes")
+{
+    // Guards against a queue that keeps ranks which have become wrong, for example of jobs that are late by
+    // now.
+    const job first = make_job("first", 1s, 4);
+    const job second = make_job("second", 2s, 1);
+    const job_objective due_first = objective_of(first, 0, 1.6, 600ms);
+    const job_objective due_second = objective_of(second, 0, 1.6, 600ms);
+    for (const job* j : {&first, &second}) {
+        const job_objective& due = j == &first ? due_first : due_second;
+        const std::int64_t until = rank_valid_until(*j, due, 0);
+        CHECK(rank_job(*j, 0, due, 0).level == urgency::in_time);
+        CHECK(rank_job(*j, 0, due, until).level == urgency::in_time);
+        CHECK(rank_job(*j, 0, due, until + 1).level == urgency::late);
+        const std::int64_t late_until = rank_valid_until(*j, due, until + 1);
+        CHECK(rank_job(*j, 0, due, late_until).level == urgency::late);
+        CHECK(rank_job(*j, 0, due, late_until + 1).level == urgency::useless);
+        CHECK(rank_valid_until(*j, due, late_until + 1) == std::numeric_limits<std::int64_t>::max());
+    }
+    const bool before = rank_job(first, 0, due_first, 0) < rank_job(second, 0, due_second, 0);
+    CHECK(before == (rank_job(first, 0, due_first, 500) < rank_job(second, 0, due_second, 500)));
+    const job serving = make_job("serving", 0s, 1, true);
+    CHECK(rank_valid_until(serving, due_first, 0) == std::numeric_limits<std::int64_t>::max());
+}
+
 TEST_CASE("jobs that can be in time rank before jobs that can't, and permanent jobs before both")
 {
     const job serving = make_job("serving", 0s, 1, true);
--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -525,3 +525,43 @@
     CHECK(started == std::set<job_id>{job_id{"small"}});
     CHECK(f.scheduler.targets().at(a).used.milli_cpu + f.scheduler.targets().at(b).used.milli_cpu == 62'000);
 }
+
+TEST_CASE("a job that has become late no longer delays one that can be in time")
+{
+    // Guards against waiting jobs that keep the rank with which they were queued.
+    scheduler_fixture f;
+    const target_id t = f.add_target("t");
+    const std::vector<start_command> all = f.run_job("fills", 16);
+    REQUIRE(all.size() == 16);
+    const job_id old = f.add_job("a-old", 16);
+    CHECK(f.plan_and_store().empty());
+    f.advance(std::chrono::seconds{30});
+    const job_id fresh = f.add_job("b-fresh", 16);
+    CHECK(f.plan_and_store().empty());
+    std::vector<listed_end> ends;
+    for (const start_command& s : all)
+        ends.push_back(ended(s, ends.size() + 1, run_end::done));
+    f.report(t, {}, ends);
+    const std::vector<start_command> next = f.plan_and_store();
+    REQUIRE(next.size() == 16);
+    for (const start_command& s : next)
+        CHECK(s.order.task.job == fresh);
+    CHECK(f.scheduler.find_job(old)->active_runs() == 0);
+}
+
+TEST_CASE("a heartbeat that changes nothing causes no planning, and a change of a target does")
+{
+    // Guards against a planning pass for each of the targets' registrations.
+    scheduler_fixture f;
+    f.add_target("t");
+    f.run_job("fills", 16);
+    f.add_job("waits", 1);
+    CHECK(f.plan_and_store().empty());
+    f.scheduler.set_target(f.info_of("t"), f.now());
+    CHECK_FALSE(f.scheduler.planning_needed());
+    target_info larger = f.info_of("t");
+    larger.capacity.milli_cpu *= 2;
+    f.scheduler.set_target(larger, f.now());
+    CHECK(f.scheduler.planning_needed());
+    CHECK(f.plan_and_store().size() == 1);
+}
