--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -539,6 +539,7 @@
     const job_id fresh = f.add_job("b-fresh", 16);
     CHECK(f.plan_and_store().empty());
     std::vector<listed_end> ends;
+    ends.reserve(all.size());
     for (const start_command& s : all)
         ends.push_back(ended(s, ends.size() + 1, run_end::done));
     f.report(t, {}, ends);
