--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -151,9 +151,9 @@
     const bool added = !targets_.contains(info.id);
     target_status& t = targets_[info.id];
     // Most entries are heartbeats, which change nothing that planning depends on.
-    const bool usable_before = !added && t.listed && t.info.state == info.state &&
-                               t.info.service == info.service && t.info.capacity == info.capacity &&
-                               t.info.incarnation == info.incarnation;
+    const bool unchanged = !added && t.listed && t.info.state == info.state &&
+                           t.info.service == info.service && t.info.capacity == info.capacity &&
+                           t.info.incarnation == info.incarnation;
     if (added) {
         t.lease_until =
             created_at_ +
@@ -184,7 +184,7 @@
     t.listed = true;
     t.cordoned = cordons_.contains(info.host);
     t.maintained_soon = maintained_soon_.contains(info.host);
-    if (!usable_before)
+    if (!unchanged)
         plan_needed_.insert(info.service);
 }
 
--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -566,3 +566,29 @@
     CHECK(f.scheduler.planning_needed());
     CHECK(f.plan_and_store().size() == 1);
 }
+
+// Guards against running work that a leader gives up because it hears nothing of it. In an incident, a leader
+// that was cut off stopped 87 runs as stalled within 2 s. Listed in KNOWN-RED.txt; hidden from the default
+// run.
+TEST_CASE("a task on a target that is silent is not stopped as stalled", "[.][known-red]")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_target("b", "other");
+    f.add_job("j", 4);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 4);
+    for (const start_command& s : starts)
+        f.confirm(s);
+    f.add_target("c");
+    f.advance(2s);
+    std::vector<listed_end> ends;
+    ends.reserve(3);
+    for (std::size_t i = 0; i < 3; ++i)
+        ends.push_back(ended(starts[i], i + 1, run_end::done));
+    f.report(a, {running(starts[3])}, ends);
+    // Longer than a target may delay its answer, so that at least one observation is overdue.
+    for (int i = 0; i < 16; ++i)
+        f.advance(100ms);
+    CHECK(f.take_stops().empty());
+}
