Report how old the leader's views are and how late it acts

Cause: whether a leader was late, sent a start long after planning it, or missed a cancellation could only be told by joining the lines of several hosts. Change: gauges of the age of the views of targets and cancellations, histograms of the delay of cancellations and of planned starts, and one log line when starts pause or resume because of an old view.

--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -1,5 +1,6 @@
 #include "jobs/job_leader.h"
 
+#include "core/number_text.h"
 #include "jobs/job_codec.h"
 #include "jobs/job_keys.h"
 #include "jobs/store_reachability.h"
@@ -9,6 +10,17 @@
 namespace {
 
 constexpr std::chrono::seconds removal_interval{5};
+const std::vector<double> delay_bounds{0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0};
+
+metric_gauge view_age_gauge(metric_registry& metrics, const char* view)
+{
+    return metrics.gauge("mjm_view_age_seconds", "Age of what the leader knows.", {{"view", view}});
+}
+
+double seconds(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
 
 } // namespace
 
@@ -35,7 +47,15 @@
       first_start_seconds_{services_.metrics.histogram(
           "mjm_first_start_seconds",
           "Time from the acceptance of a job to the choice of a target for a task's first run.",
-          {0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0})}
+          delay_bounds)},
+      start_delay_seconds_{services_.metrics.histogram(
+          "mjm_start_delay_seconds",
+          "Time from the choice of a target for a run to the order that starts it.", delay_bounds)},
+      cancel_delay_seconds_{services_.metrics.histogram(
+          "mjm_cancel_delay_seconds", "Time from a caller's cancellation until the leader handles it.",
+          delay_bounds)},
+      target_view_age_seconds_{view_age_gauge(services_.metrics, "targets")},
+      cancel_view_age_seconds_{view_age_gauge(services_.metrics, "cancellations")}
 {
     for (const auto& [event, name] : enum_names<scheduler_event>::entries)
         event_counters_.emplace(event, services_.metrics.counter("mjm_scheduler_events_total",
@@ -135,8 +155,10 @@
     prefix_watch::handler h;
     h.on_snapshot = [this](const std::vector<kv_entry>& entries) { on_inbox_snapshot(entries); };
     h.on_change = [this](const store_change& change) {
-        if (!change.removed)
+        if (!change.removed) {
+            observe_cancel_delay(change.entry);
             on_inbox(change.entry);
+        }
         request_pass();
     };
     h.on_store_reachability = [this](tl::expected<void, store_errc> reachability) {
@@ -262,7 +284,32 @@
 
 void job_leader::update_view_times()
 {
-    scheduler_.set_view_times(services_.directory.view_time(), inbox_ ? inbox_->view_time() : timestamp{});
+    const timestamp targets = services_.directory.view_time();
+    const timestamp cancellations = inbox_ ? inbox_->view_time() : timestamp{};
+    scheduler_.set_view_times(targets, cancellations);
+    if (loaded_ && has_targets_)
+        log_view_age(targets, cancellations);
+}
+
+void job_leader::log_view_age(timestamp targets, timestamp cancellations)
+{
+    const timestamp at = services_.time.now();
+    target_view_age_seconds_.set(seconds(at - targets));
+    cancel_view_age_seconds_.set(seconds(at - cancellations));
+    if (scheduler_.may_start(at) != starts_paused_)
+        return;
+    starts_paused_ = !starts_paused_;
+    services_.log.info(
+        starts_paused_ ? "starts_paused" : "starts_resumed",
+        {{"targets_age_ms", to_ms(at - targets)}, {"cancellations_age_ms", to_ms(at - cancellations)}});
+}
+
+void job_leader::observe_cancel_delay(const kv_entry& entry)
+{
+    if (!job_keys::job_of(job_keys::cancelled, entry.key))
+        return;
+    if (const std::optional<std::int64_t> requested_ms = parse_integer<std::int64_t>(entry.value))
+        cancel_delay_seconds_.observe(static_cast<double>(services_.time.unix_ms() - *requested_ms) / 1000.0);
 }
 
 void job_leader::request_pass()
@@ -301,6 +348,7 @@
 void job_leader::send(const target_command& command)
 {
     if (const start_command* start = std::get_if<start_command>(&command)) {
+        start_delay_seconds_.observe(seconds(services_.time.now() - start->planned_at));
         services_.orders.start(
             start->target, start->order,
             guarded([this, target = start->target.id, task = start->order.task,
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -80,6 +80,9 @@
     /// shared by them.
     void request_pass();
     void update_view_times();
+    /// Logs that the views have become too old for starts, or recent again.
+    void log_view_age(timestamp targets, timestamp cancellations);
+    void observe_cancel_delay(const kv_entry& entry);
     /// Plans, stores what has changed, and sends the commands and observations that are due.
     void plan_and_send();
     void send(const target_command& command);
@@ -106,6 +109,10 @@
     std::map<job_id, std::string> stored_progress_;            ///< Read while taking over; empty once loaded.
     std::map<scheduler_event, metric_counter> event_counters_; ///< Looked up once, since events are frequent.
     metric_histogram first_start_seconds_;
+    metric_histogram start_delay_seconds_;
+    metric_histogram cancel_delay_seconds_;
+    metric_gauge target_view_age_seconds_;
+    metric_gauge cancel_view_age_seconds_;
     std::map<job_id, timestamp> finished_at_; ///< When each job in a final state was first seen as such.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     timestamp next_removal_;
@@ -118,6 +125,7 @@
     bool loaded_ = false;
     bool has_targets_ = false;
     bool pass_requested_ = false;
+    bool starts_paused_ = false; ///< Whether the views were too old for starts when they were last checked.
     bool stopped_ = false;
 };
 
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -34,6 +34,7 @@
 struct start_command {
     target_ref target;
     start_order order;
+    timestamp planned_at; ///< When the run was planned.
 };
 struct stop_command {
     target_ref target;
@@ -144,6 +145,8 @@
     /// Sets the times whose targets and cancellations this scheduler knows. A scheduler that falls behind
     /// starts no run with an old view.
     void set_view_times(timestamp targets, timestamp cancellations);
+    /// Whether the views of the targets and of the cancellations are recent enough for starts.
+    [[nodiscard]] bool may_start(timestamp now) const;
     /// Sets the hosts that take no new work, and the hosts that will be maintained soon. The latter get
     /// permanent tasks only if no other host has free capacity.
     void set_cordons(const std::set<std::string>& cordoned, const std::set<std::string>& maintained_soon);
@@ -308,8 +311,6 @@
     void on_host_down(target_status& t, scheduler_time time);
 
     // scheduler_plan.cpp
-    /// Whether the views of the targets and of the cancellations are recent enough for starts.
-    [[nodiscard]] bool may_start(timestamp now) const;
     void plan_pool(const service_id& service, service_queue& queue, scheduler_time time);
     void plan_job(open_job& open, const std::vector<target_status*>& pool, unsatisfiable_needs& unsatisfiable,
                   scheduler_time time);
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mjm {
 
@@ -202,11 +203,11 @@
     order.token = token_;
     if (j.step(p.step).saves_progress)
         order.checkpoint = t.checkpoint;
+    const timestamp planned_at = std::exchange(t.run->ordered_at, time.now);
     t.run->phase = run_phase::ordered;
-    t.run->ordered_at = time.now;
     t.run->order_pending = true;
     target->lease_until = std::max(target->lease_until, lease_end(time.now));
-    commands_.emplace_back(start_command{ref_of(t.run->target), std::move(order)});
+    commands_.emplace_back(start_command{ref_of(t.run->target), std::move(order), planned_at});
 }
 
 timestamp job_scheduler::lease_end(timestamp granted_at) const
