Check a start again when it is sent

Cause: whether a run may start was checked when its order was queued; the order left with the next pass, behind all events that a slow leader had queued by then. Evidence: both new tests fail without the change: the start of a cancelled job, and one on views that are 3 s old, are sent. Change: starts are checked when they are handed over for sending: the run is still ordered, its target is unchanged and ready, the views are recent. Otherwise the start is withdrawn and its run discarded; since it was never sent, it needs no stop, and the stop that may be queued with it is dropped.

--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -340,7 +340,7 @@
         if (scheduler_.has_unstored())
             journal_.write(scheduler_.unstored(progress_journal::capacity()));
     }
-    for (const target_command& command : scheduler_.take_commands())
+    for (const target_command& command : scheduler_.take_commands(now()))
         send(command);
     send_observations();
 }
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -375,11 +375,10 @@
     }
 }
 
-std::vector<target_command> job_scheduler::take_commands()
+std::vector<target_command> job_scheduler::take_commands(scheduler_time time)
 {
-    std::vector<target_command> out;
-    out.swap(commands_);
-    return out;
+    withdraw_starts(time);
+    return std::exchange(commands_, {});
 }
 
 void job_scheduler::discard_runs_of_target(target_status& t, const char* reason, scheduler_time time)
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -179,7 +179,9 @@
     /// Handles the store's confirmation of these writes: planned runs start, and ends are acknowledged to
     /// targets.
     void on_stored(const std::vector<progress_write>& writes, scheduler_time time);
-    [[nodiscard]] std::vector<target_command> take_commands();
+    /// Returns the commands to be sent now. Starts that are no longer allowed are withdrawn, since any event
+    /// may have been handled since they were ordered.
+    [[nodiscard]] std::vector<target_command> take_commands(scheduler_time time);
 
     // Answers.
     void on_start_answer(const target_id& target, const task_key& key, run_number run,
@@ -324,6 +326,12 @@
     [[nodiscard]] std::string rack_of_step(const open_job& open, std::uint32_t step) const;
     [[nodiscard]] bool within_cap(const open_job& open, const step_spec& step) const;
     void order_start(open_job& open, const task_position& p, scheduler_time time);
+    /// Returns why the planned run must not be started at present, or null if it may be.
+    [[nodiscard]] const char* obstacle_to_start(const task_run& run, timestamp now) const;
+    /// Removes starts that must not be sent any more, and discards their runs.
+    void withdraw_starts(scheduler_time time);
+    /// Returns why the start must not be sent any more, or null if it may be.
+    [[nodiscard]] const char* obstacle_to_sending(const start_command& start, timestamp now) const;
     /// Returns the latest time, on this host's clock, at which a lease granted at `granted_at` ends on its
     /// target.
     [[nodiscard]] timestamp lease_end(timestamp granted_at) const;
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -184,16 +184,11 @@
 {
     job& j = *open.state;
     task& t = j.at(p);
-    target_status* target = find_target(t.run->target);
-    if (target == nullptr || !target->reachable || !target->clock_known || !target->listed ||
-        target->info.state != target_state::ready || target->info.incarnation != t.run->incarnation) {
-        discard_run(open, p, "target changed before the start", time);
-        return;
-    }
-    if (!may_start(time.now)) {
-        discard_run(open, p, "the view of targets or cancellations is too old", time);
+    if (const char* obstacle = obstacle_to_start(*t.run, time.now)) {
+        discard_run(open, p, obstacle, time);
         return;
     }
+    target_status* target = find_target(t.run->target);
     const std::int64_t lease_ms = to_ms(settings_.target_lease);
     start_order order;
     order.task = {j.id(), p};
@@ -210,6 +205,60 @@
     commands_.emplace_back(start_command{ref_of(t.run->target), std::move(order), planned_at});
 }
 
+const char* job_scheduler::obstacle_to_start(const task_run& run, timestamp now) const
+{
+    const auto it = targets_.find(run.target);
+    if (it == targets_.end())
+        return "target changed before the start";
+    const target_status& target = it->second;
+    if (!target.reachable || !target.clock_known || !target.listed ||
+        target.info.state != target_state::ready || target.info.incarnation != run.incarnation)
+        return "target changed before the start";
+    return may_start(now) ? nullptr : "the view of targets or cancellations is too old";
+}
+
+const char* job_scheduler::obstacle_to_sending(const start_command& start, timestamp now) const
+{
+    const auto it = jobs_.find(start.order.task.job);
+    if (it == jobs_.end())
+        return "job removed before the start";
+    const std::optional<task_run>& run = it->second.state->at(start.order.task.position).run;
+    if (!run || run->number != start.order.run)
+        return "run ended before the start";
+    if (run->phase != run_phase::ordered)
+        return "stopped before the start";
+    return obstacle_to_start(*run, now);
+}
+
+void job_scheduler::withdraw_starts(scheduler_time time)
+{
+    std::map<std::pair<task_key, run_number>, const char*> withdrawn;
+    for (const target_command& command : commands_) {
+        const start_command* start = std::get_if<start_command>(&command);
+        if (start == nullptr)
+            continue;
+        if (const char* obstacle = obstacle_to_sending(*start, time.now))
+            withdrawn.emplace(std::pair{start->order.task, start->order.run}, obstacle);
+    }
+    if (withdrawn.empty())
+        return;
+    // A run whose start was not sent needs no stop.
+    std::erase_if(commands_, [&withdrawn](const target_command& command) {
+        if (const start_command* start = std::get_if<start_command>(&command))
+            return withdrawn.contains({start->order.task, start->order.run});
+        const stop_command* stop = std::get_if<stop_command>(&command);
+        return stop != nullptr && withdrawn.contains({stop->task, stop->run});
+    });
+    for (const auto& [run, obstacle] : withdrawn) {
+        open_job* open = find_open(run.first.job);
+        if (open == nullptr)
+            continue;
+        const std::optional<task_run>& current = open->state->at(run.first.position).run;
+        if (current && current->number == run.second)
+            discard_run(*open, run.first.position, obstacle, time);
+    }
+}
+
 timestamp job_scheduler::lease_end(timestamp granted_at) const
 {
     const double length =
--- a/src/plugins/jobs/tests/scheduler_fixture.cpp
+++ b/src/plugins/jobs/tests/scheduler_fixture.cpp
@@ -94,12 +94,12 @@
     unix_ms_ += to_ms(d);
     scheduler.set_view_times(now_, now_);
     scheduler.tick(now());
-    sort_commands();
+    sort_commands(now());
 }
 
-void scheduler_fixture::sort_commands()
+void scheduler_fixture::sort_commands(scheduler_time time)
 {
-    for (const target_command& c : scheduler.take_commands()) {
+    for (const target_command& c : scheduler.take_commands(time)) {
         if (const start_command* start = std::get_if<start_command>(&c))
             starts_.push_back(*start);
         else if (const stop_command* stop = std::get_if<stop_command>(&c))
@@ -114,15 +114,15 @@
     return take_starts();
 }
 
-std::vector<start_command> scheduler_fixture::take_starts()
+std::vector<start_command> scheduler_fixture::take_starts(scheduler_time time)
 {
-    sort_commands();
+    sort_commands(time);
     return std::exchange(starts_, {});
 }
 
 std::vector<stop_command> scheduler_fixture::take_stops()
 {
-    sort_commands();
+    sort_commands(now());
     return std::exchange(stops_, {});
 }
 
--- a/src/plugins/jobs/tests/scheduler_fixture.h
+++ b/src/plugins/jobs/tests/scheduler_fixture.h
@@ -34,7 +34,9 @@
     [[nodiscard]] scheduler_time now() const { return {now_, unix_ms_}; }
     /// Plans, confirms that all progress is stored, and returns the resulting starts.
     std::vector<start_command> plan_and_store();
-    std::vector<start_command> take_starts();
+    std::vector<start_command> take_starts() { return take_starts(now()); }
+    /// Returns the starts that the scheduler sends at the given time.
+    std::vector<start_command> take_starts(scheduler_time time);
     std::vector<stop_command> take_stops();
     void confirm(const start_command& start);
     /// Reports the runs and ends that the target lists.
@@ -47,7 +49,7 @@
     std::vector<scheduler_log_entry> log_entries;
 
 private:
-    void sort_commands();
+    void sort_commands(scheduler_time time);
 
     std::vector<start_command> starts_;
     std::vector<stop_command> stops_;
--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -201,6 +201,41 @@
     CHECK(f.scheduler.find_job(job_id{"j"})->state() == job_state::cancelled);
 }
 
+// Guards against a start that leaves after its job was cancelled (rule UNASKED).
+TEST_CASE("a start that waits to be sent is withdrawn when its job is cancelled")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 2);
+    f.scheduler.plan(f.now());
+    f.scheduler.on_stored(f.scheduler.unstored(1000), f.now());
+    f.scheduler.cancel_job(job_id{"j"}, f.now());
+    CHECK(f.take_starts().empty());
+    CHECK(f.take_stops().empty());
+    CHECK(f.scheduler.targets().at(a).runs.empty());
+    CHECK(f.scheduler.find_job(job_id{"j"})->state() == job_state::cancelled);
+}
+
+// Guards against a start that leaves after the views on which it was planned have become too old.
+TEST_CASE("a start that waits to be sent is withdrawn when the views are too old")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 2);
+    f.scheduler.plan(f.now());
+    f.scheduler.on_stored(f.scheduler.unstored(1000), f.now());
+    const scheduler_time planned = f.now();
+    const scheduler_time late{planned.now + 3s, planned.unix_ms + 3000};
+    CHECK(f.take_starts(late).empty());
+    CHECK(f.scheduler.targets().at(a).runs.empty());
+    CHECK(f.scheduler.find_job(job_id{"j"})->at({0, 0, 0}).last_run == 1);
+
+    f.advance(3s);
+    const std::vector<start_command> again = f.plan_and_store();
+    REQUIRE(again.size() == 2);
+    CHECK(again[0].order.run == 2);
+}
+
 TEST_CASE("a team runs no more than its cap")
 {
     scheduler_fixture f;
