Attribute crashes of targets to tasks, and give up a task that crashes them

Cause: only an end that a target reports as failed counted. A run that was lost with its target was planned again at once, with all others that had been on the target, mostly together on the next one. Class of fault: a loss that is put down to chance without any count, so that its cause is free to act again. Change: a crash counts against the runs that had not been at work for 0.5 s yet (probation) and is attributed to one of them where possible; suspects of one crash are separated, then isolated; two attributed crashes end the job as failed. An expected end (draining, ordered down), a host that crashes again and again, and a target that is only silent accuse no task; a silent target's suspects are settled when it turns out to have restarted or answers again. The history is stored with the progress and read by the next leader. Ends of a target's earlier life that only its new registration shows are counted too. Why this works: with its suspects separated, only the cause is in two crashes; isolated, it is the only suspect. An innocent task is cleared by its first run that passes the probation.

--- a/src/plugins/jobs/job.cpp
+++ b/src/plugins/jobs/job.cpp
@@ -71,6 +71,12 @@
         state_ = job_state::failed;
 }
 
+void job::give_up()
+{
+    if (!cancelled_ && !is_final(state_))
+        state_ = job_state::failed;
+}
+
 void job::finish_cancellation()
 {
     if (cancelled_ && !is_final(state_) && active_runs() == 0)
--- a/src/plugins/jobs/job.h
+++ b/src/plugins/jobs/job.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/crash_history.h"
 #include "jobs/job_types.h"
 
 #include <optional>
@@ -40,6 +41,8 @@
     bool on_known_target = false; ///< Whether the run is counted in the status of its target.
     bool order_pending = false;   ///< Whether a start or stop of the run is in flight.
     bool at_full_pace = false;    ///< Whether the target lists it as running at full pace.
+    bool on_probation = true;     ///< Whether it may be the cause if its target crashes.
+    bool suspected = false;       ///< Whether earlier runs of the task were lost in crashes.
 };
 
 struct task {
@@ -52,6 +55,8 @@
     timestamp not_before;     ///< Earliest time of the next start after a failure.
     target_id avoided_target; ///< Target where the task last failed or stalled; avoided by the next run.
     bool moved_as_straggler = false; ///< Whether a stalled run was moved; a task is moved only once.
+    crash_history crashes;
+    run_number passed_probation = 0; ///< Latest run that was at work for the probation time.
 };
 
 /// An accepted job and the progress of its tasks. It reads no clock: time is passed as an argument.
@@ -96,6 +101,8 @@
     /// Counts a failed run of a task. The job fails once the task has used up its attempts; permanent tasks
     /// have no limit of attempts.
     void fail_task(const task_position& p, std::uint32_t max_attempts);
+    /// Gives the job up: it becomes failed unless it is cancelled or has ended.
+    void give_up();
     /// Changes the state to `cancelled` if the job is cancelled and has no runs left.
     void finish_cancellation();
     /// Restores a final state that was read from the store.
--- a/src/plugins/jobs/job_codec.cpp
+++ b/src/plugins/jobs/job_codec.cpp
@@ -80,6 +80,24 @@
     return row;
 }
 
+json encode_crashes(const task_position& p, const crash_history& h)
+{
+    return json::array({p.occurrence, p.step, p.index, h.crashes, h.attributed, h.unresolved});
+}
+
+bool restore_crashes(job& j, const json& rows)
+{
+    for (const json& row : rows) {
+        const task_position p{row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint32_t>(),
+                              row.at(2).get<std::uint32_t>()};
+        if (!j.contains(p))
+            return false;
+        j.at(p).crashes = {row.at(3).get<std::uint32_t>(), row.at(4).get<std::uint32_t>(),
+                           row.at(5).get<std::uint32_t>()};
+    }
+    return true;
+}
+
 constexpr std::size_t task_columns = 8;
 constexpr std::size_t task_columns_with_run = 11;
 
@@ -131,6 +149,7 @@
     json out{{"state", name_of(j.state())}, {"started", j.started()}};
     if (!is_final(j.state())) {
         json rows = json::array();
+        json crashes = json::array();
         const job_spec& spec = j.record().spec;
         for (std::uint32_t k = 0; k < spec.occurrences; ++k) {
             for (std::uint32_t s = 0; s < spec.steps.size(); ++s) {
@@ -138,10 +157,14 @@
                     const task_position p{k, s, n};
                     if (j.at(p).last_run != 0)
                         rows.push_back(encode_task(p, j.at(p)));
+                    if (!j.at(p).crashes.empty())
+                        crashes.push_back(encode_crashes(p, j.at(p).crashes));
                 }
             }
         }
         out["tasks"] = std::move(rows);
+        if (!crashes.empty())
+            out["crashes"] = std::move(crashes);
     }
     return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -178,7 +201,8 @@
             }
         }
         j.restore_progress(in.at("started").get<bool>());
-        return true;
+        const auto crashes = in.find("crashes");
+        return crashes == in.end() || restore_crashes(j, *crashes);
     } catch (const json::exception&) {
         return false;
     }
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -45,8 +45,12 @@
     open.state = std::move(j);
     resolve_service(open);
     open.state->for_open_tasks([&](const task_position& p, task& t) {
-        if (t.run)
-            reserve_capacity(open, p, *t.run);
+        if (needs_isolation(t.crashes))
+            isolated_tasks_.insert({id, p});
+        if (!t.run)
+            return;
+        t.run->suspected = !t.crashes.empty();
+        reserve_capacity(open, p, *t.run);
     });
     plan_needed_.insert(open.service);
 }
@@ -169,21 +173,25 @@
         log_event(scheduler_event::target_changed, {}, nullptr, 0, info.id,
                   info.state == target_state::draining ? "draining" : "ready");
     }
-    const target_incarnation known = t.info.incarnation;
-    if (!added)
-        set_service_of_target(t, info.service);
-    t.info = info;
-    if (!added) {
-        t.info.incarnation = known;
-        if (info.incarnation > known) {
+    if (added) {
+        t.info = info;
+        resolve_lost_targets_of_host(info, time);
+    } else {
+        if (info.incarnation > t.info.incarnation) {
             on_target_restart(t, info.incarnation, time);
             t.synced = false;
             t.next_observation = time.now;
         }
+        set_service_of_target(t, info.service);
+        const target_incarnation known = t.info.incarnation;
+        t.info = info;
+        t.info.incarnation = known;
     }
     t.listed = true;
     t.cordoned = cordons_.contains(info.host);
     t.maintained_soon = maintained_soon_.contains(info.host);
+    if (added)
+        lose_runs_of_earlier_incarnations(t, time);
     if (!unchanged)
         plan_needed_.insert(info.service);
 }
@@ -200,12 +208,13 @@
 {
     for (const auto& [id, open] : jobs_with_runs_) {
         job& j = *open->state;
-        j.for_open_tasks([&t, &j](const task_position& p, task& it) {
+        j.for_open_tasks([this, &t, &j](const task_position& p, task& it) {
             if (!it.run || it.run->target != t.info.id)
                 return;
             t.used += counted_need(j.step(p.step));
             t.runs.insert({j.id(), p});
             it.run->on_known_target = true;
+            start_probation(*it.run);
         });
     }
 }
@@ -250,6 +259,7 @@
         t->used += counted_need(step);
         t->runs.insert({open.state->id(), p});
         run.on_known_target = true;
+        start_probation(run);
     }
 }
 
@@ -265,8 +275,10 @@
     if (it != by_target.end() && --it->second == 0)
         by_target.erase(it);
     if (target_status* t = find_target(run.target)) {
-        if (t->runs.erase({open.state->id(), p}) > 0)
+        if (t->runs.erase({open.state->id(), p}) > 0) {
             t->used -= counted_need(step);
+            end_probation(run);
+        }
         plan_needed_.insert(t->info.service);
     }
     plan_needed_.insert(open.service);
@@ -406,6 +418,7 @@
         if (!t.runs.empty() && !t.reachable && time.now > t.lease_until) {
             log_event(scheduler_event::target_lost, {}, nullptr, 0, id, "lease expired",
                       to_ms(time.now - t.lease_until));
+            note_lost_target(t, time);
             discard_runs_of_target(t, "target lost", time);
             t.synced = false;
         }
@@ -421,6 +434,7 @@
         next_run_check_ = time.now + settings_.run_check_interval;
         move_off_draining_targets(time);
         check_runs(time);
+        forget_old_crashes(time.now);
         move_stragglers(time);
     }
     // No event tells when a failed task may start again, a target is no longer avoided, or an occurrence is
@@ -438,8 +452,11 @@
             return;
         // The run was restored from the store, and its target has not been listed since.
         if (!t.run->on_known_target) {
-            if (time.now > created_at_ + settings_.longest_lease + settings_.lease_margin * 2)
+            if (time.now > created_at_ + settings_.longest_lease + settings_.lease_margin * 2) {
+                ++t.crashes.unresolved;
+                on_history_changed(open, {{open.state->id(), p}, t.run->number}, t.run->target);
                 discard_run(open, p, "target unknown", time);
+            }
             return;
         }
         // After a confirmed stop, the target's next report shows whether the run has ended.
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -67,11 +67,14 @@
     target_avoided,
     unknown_run_stopped,
     run_stop_requested,
+    target_crashed,
+    task_suspected,
+    job_given_up,
 };
 
 template <>
 struct enum_names<scheduler_event> {
-    static constexpr std::array<std::pair<scheduler_event, std::string_view>, 16> entries{{
+    static constexpr std::array<std::pair<scheduler_event, std::string_view>, 19> entries{{
         {scheduler_event::job_added, "job_added"},
         {scheduler_event::job_cancelled, "job_cancelled"},
         {scheduler_event::job_finished, "job_finished"},
@@ -88,6 +91,9 @@
         {scheduler_event::target_avoided, "target_avoided"},
         {scheduler_event::unknown_run_stopped, "unknown_run_stopped"},
         {scheduler_event::run_stop_requested, "run_stop_requested"},
+        {scheduler_event::target_crashed, "target_crashed"},
+        {scheduler_event::task_suspected, "task_suspected"},
+        {scheduler_event::job_given_up, "job_given_up"},
     }};
 };
 
@@ -238,6 +244,17 @@
         timestamp next_ranking;
     };
     class unsatisfiable_needs;
+    struct lost_run {
+        task_key task;
+        run_number run = 0;
+    };
+    /// A target whose lease ran out in silence. It has crashed, or it may answer again.
+    struct lost_target {
+        std::string host;
+        target_incarnation incarnation = 0;
+        timestamp lost_at;
+        std::vector<lost_run> runs; ///< Its runs that were on probation.
+    };
 
     // job_scheduler.cpp
     void log_event(scheduler_event event, const job_id& id, const task_key* task, run_number run,
@@ -336,6 +353,45 @@
     /// target.
     [[nodiscard]] timestamp lease_end(timestamp granted_at) const;
 
+    // scheduler_crashes.cpp
+    /// Discards these runs of a target that has ended. Unless its end was expected, it is a crash.
+    void lose_runs(target_status& t, const std::vector<task_key>& keys, const char* reason,
+                   scheduler_time time);
+    /// Handles that restored runs belong to a life of the target that has ended.
+    void lose_runs_of_earlier_incarnations(target_status& t, scheduler_time time);
+    [[nodiscard]] std::vector<lost_run> runs_on_probation(const std::vector<task_key>& keys);
+    /// Counts a crash for the runs that were on probation, and attributes it to one of them if possible.
+    void record_crash(const target_id& target, const std::string& host, const std::vector<lost_run>& suspects,
+                      scheduler_time time);
+    void on_history_changed(open_job& open, const lost_run& lost, const target_id& target);
+    /// Gives up the jobs of those of the tasks under which too many targets have crashed.
+    void give_up_jobs(const std::vector<lost_run>& suspects, scheduler_time time);
+    /// Notes the runs on probation of a target that is lost in silence.
+    void note_lost_target(const target_status& t, scheduler_time time);
+    /// Handles that a target that was lost in silence has crashed, or answers again.
+    void resolve_lost_target(const target_id& id, bool crashed, scheduler_time time);
+    /// Handles that a target has a successor on its host, so that it has crashed.
+    void resolve_lost_targets_of_host(const target_info& successor, scheduler_time time);
+    /// Handles that the run has been at work long enough not to be the cause of a later crash.
+    void pass_probation(open_job& open, const task_position& p);
+    void clear_crash_history(open_job& open, task& t);
+    /// Count a run on probation in the status of its target.
+    void start_probation(const task_run& run);
+    void end_probation(const task_run& run);
+    [[nodiscard]] bool awaits_isolation(const task_key& key);
+    /// Frees the targets that are no longer needed for isolated runs.
+    void update_isolation(scheduler_time time);
+    void plan_isolated_tasks(const service_id& service, const std::vector<target_status*>& pool,
+                             scheduler_time time);
+    /// Returns the target that is kept for the task's isolated run, or null if no more may be kept.
+    [[nodiscard]] target_status* keep_target_for(const task_key& key, const placement_request& request,
+                                                 const std::vector<target_status*>& pool,
+                                                 scheduler_time time);
+    [[nodiscard]] target_status* best_for_isolation(const placement_request& request,
+                                                    const std::vector<target_status*>& pool,
+                                                    timestamp now) const;
+    void forget_old_crashes(timestamp now);
+
     // scheduler_stragglers.cpp
     void move_stragglers(scheduler_time time);
     [[nodiscard]] bool is_stalled(const open_job& open, const task_position& p, const task_run& run,
@@ -383,6 +439,10 @@
     std::map<team_id, resources> team_use_;
     std::map<job_id, open_job*> jobs_with_runs_;
     std::set<job_id> dirty_; ///< Jobs with changes that the store does not have.
+    std::map<target_id, lost_target> lost_targets_;
+    std::map<std::string, timestamp> crashed_hosts_; ///< Until when crashes are attributed to the host.
+    std::set<task_key> isolated_tasks_;              ///< Tasks whose next run is to be isolated.
+    std::map<task_key, target_id> isolation_targets_;
     std::set<std::string> cordons_;
     std::set<std::string> maintained_soon_;
     std::vector<target_command> commands_;
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -13,13 +13,25 @@
 constexpr double maintained_soon_penalty = 50.0;
 constexpr double avoided_penalty = 100.0;
 
+bool has_label(const target_status& t, const std::string& label)
+{
+    return label.empty() ||
+           std::find(t.info.labels.begin(), t.info.labels.end(), label) != t.info.labels.end();
+}
+
+/// Whether the target's other runs allow one more of the task, going by the crashes that they may cause.
+bool separated(const target_status& t, const placement_request& request)
+{
+    if (t.kept_for_isolation != request.isolated)
+        return false;
+    return request.isolated ? t.runs_on_probation == 0 : !request.suspected || t.suspected_runs == 0;
+}
+
 bool may_run(const target_status& t, const placement_request& request, timestamp now)
 {
     const step_spec& step = *request.step;
-    if (!has_capacity(t, step) || !accepts_work(t, now))
-        return false;
-    if (!step.required_label.empty() &&
-        std::find(t.info.labels.begin(), t.info.labels.end(), step.required_label) == t.info.labels.end())
+    if (!has_capacity(t, step) || !accepts_work(t, now) || !has_label(t, step.required_label) ||
+        !separated(t, request))
         return false;
     if (step.max_per_target != 0 && request.step_runs != nullptr) {
         const auto it = request.step_runs->find(t.info.id);
@@ -33,7 +45,8 @@
 {
     const step_spec& step = *request.step;
     const double fill = t.used.dominant_fraction(t.info.capacity);
-    double result = step.backfill ? fill : 1.0 - fill;
+    // On an emptier target, a suspected run endangers fewer others.
+    double result = step.backfill || request.suspected ? fill : 1.0 - fill;
     const std::string& rack = step.data_rack.empty() ? request.preferred_rack : step.data_rack;
     if (!rack.empty() && t.info.rack.str() != rack)
         result += wrong_rack_penalty;
@@ -58,6 +71,11 @@
            t.info.state == target_state::ready && now >= t.avoid_until;
 }
 
+bool could_run(const target_status& t, const placement_request& request)
+{
+    return has_label(t, request.step->required_label) && counted_need(*request.step).fits_in(t.info.capacity);
+}
+
 bool has_capacity(const target_status& t, const step_spec& step)
 {
     const resources left = t.free();
--- a/src/plugins/jobs/placement.h
+++ b/src/plugins/jobs/placement.h
@@ -15,11 +15,16 @@
     const std::map<target_id, std::uint32_t>* step_runs = nullptr; ///< Runs of the step by target, or null.
     target_id avoided_target;   ///< Where the task failed or stalled before; chosen only if no other fits.
     std::string preferred_rack; ///< Rack on which the step's other tasks run; empty for none.
+    bool suspected = false;     ///< Whether runs of the task were lost in crashes of their targets.
+    bool isolated = false;      ///< Whether no other run on the target may be on probation.
 };
 
 /// Whether the target may be given any work at `now`.
 [[nodiscard]] bool accepts_work(const target_status& t, timestamp now);
 
+/// Whether the target fits the task apart from what it runs at present.
+[[nodiscard]] bool could_run(const target_status& t, const placement_request& request);
+
 /// Whether the target has free capacity for one more task of the step. Checks no other condition.
 [[nodiscard]] bool has_capacity(const target_status& t, const step_spec& step);
 
--- /dev/null
+++ b/src/plugins/jobs/scheduler_crashes.cpp
@@ -0,0 +1,303 @@
+#include "jobs/job_scheduler.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace mjm {
+
+namespace {
+
+/// Whether the target was to stay, so that its end is a crash.
+bool expected_to_stay(const target_status& t)
+{
+    return t.info.state == target_state::ready && !t.leaving && !t.cordoned &&
+           t.ordered_down_at == timestamp{};
+}
+
+std::string to_text(const crash_history& h)
+{
+    return "crashes " + std::to_string(h.crashes) + ", attributed " + std::to_string(h.attributed) +
+           ", unresolved " + std::to_string(h.unresolved);
+}
+
+} // namespace
+
+void job_scheduler::lose_runs(target_status& t, const std::vector<task_key>& keys, const char* reason,
+                              scheduler_time time)
+{
+    std::vector<lost_run> suspects;
+    if (expected_to_stay(t) && !keys.empty()) {
+        suspects = runs_on_probation(keys);
+        record_crash(t.info.id, t.info.host, suspects, time);
+    }
+    for (const task_key& key : keys) {
+        if (open_job* open = find_open(key.job))
+            discard_run(*open, key.position, reason, time);
+    }
+    give_up_jobs(suspects, time);
+}
+
+void job_scheduler::lose_runs_of_earlier_incarnations(target_status& t, scheduler_time time)
+{
+    std::vector<task_key> lost;
+    for_runs(t, [&](const open_job& open, const task_position& p, const task_run& run) {
+        if (run.incarnation < t.info.incarnation)
+            lost.push_back({open.state->id(), p});
+    });
+    lose_runs(t, lost, "target restarted", time);
+}
+
+std::vector<job_scheduler::lost_run> job_scheduler::runs_on_probation(const std::vector<task_key>& keys)
+{
+    std::vector<lost_run> out;
+    for (const task_key& key : keys) {
+        const open_job* open = find_open(key.job);
+        if (open == nullptr)
+            continue;
+        const std::optional<task_run>& run = open->state->at(key.position).run;
+        if (run && run->on_probation && run->phase != run_phase::planned)
+            out.push_back({key, run->number});
+    }
+    return out;
+}
+
+void job_scheduler::record_crash(const target_id& target, const std::string& host,
+                                 const std::vector<lost_run>& suspects, scheduler_time time)
+{
+    std::vector<crash_history> histories;
+    histories.reserve(suspects.size());
+    for (const lost_run& it : suspects)
+        histories.push_back(find_open(it.task.job)->state->at(it.task.position).crashes);
+    const auto earlier = crashed_hosts_.find(host);
+    const bool distrusted = earlier != crashed_hosts_.end() && time.now < earlier->second;
+    const std::optional<std::size_t> cause = distrusted ? std::nullopt : probable_cause(histories);
+    log_event(scheduler_event::target_crashed, {}, nullptr, 0, target,
+              std::to_string(suspects.size()) + (cause ? " suspects, attributed" : " suspects"));
+    if (!cause && !host.empty())
+        crashed_hosts_[host] = time.now + settings_.crashes.host_distrust;
+    for (std::size_t i = 0; i < suspects.size(); ++i) {
+        open_job& open = *find_open(suspects[i].task.job);
+        crash_history& history = open.state->at(suspects[i].task.position).crashes;
+        ++history.crashes;
+        if (cause == i)
+            ++history.attributed;
+        on_history_changed(open, suspects[i], target);
+    }
+}
+
+void job_scheduler::on_history_changed(open_job& open, const lost_run& lost, const target_id& target)
+{
+    const crash_history& history = open.state->at(lost.task.position).crashes;
+    if (needs_isolation(history))
+        isolated_tasks_.insert(lost.task);
+    mark_changed(*open.state);
+    log_event(scheduler_event::task_suspected, lost.task.job, &lost.task, lost.run, target, to_text(history));
+}
+
+void job_scheduler::give_up_jobs(const std::vector<lost_run>& suspects, scheduler_time time)
+{
+    for (const lost_run& it : suspects) {
+        open_job* open = find_open(it.task.job);
+        if (open == nullptr || is_final(open->state->state()) || open->state->cancelled() ||
+            !exceeds_limit(open->state->at(it.task.position).crashes, settings_.crashes))
+            continue;
+        log_event(scheduler_event::job_given_up, it.task.job, &it.task, it.run, {},
+                  to_text(open->state->at(it.task.position).crashes));
+        open->state->give_up();
+        mark_changed(*open->state);
+        after_change(*open, time);
+    }
+}
+
+void job_scheduler::note_lost_target(const target_status& t, scheduler_time time)
+{
+    if (!expected_to_stay(t))
+        return;
+    lost_target lost{t.info.host, t.info.incarnation, time.now,
+                     runs_on_probation({t.runs.begin(), t.runs.end()})};
+    if (lost.runs.empty())
+        return;
+    for (const lost_run& it : lost.runs) {
+        open_job& open = *find_open(it.task.job);
+        ++open.state->at(it.task.position).crashes.unresolved;
+        on_history_changed(open, it, t.info.id);
+    }
+    lost_targets_[t.info.id] = std::move(lost);
+}
+
+void job_scheduler::resolve_lost_target(const target_id& id, bool crashed, scheduler_time time)
+{
+    const auto it = lost_targets_.find(id);
+    if (it == lost_targets_.end())
+        return;
+    const lost_target lost = std::move(it->second);
+    lost_targets_.erase(it);
+    std::vector<lost_run> suspects;
+    for (const lost_run& run : lost.runs) {
+        open_job* open = find_open(run.task.job);
+        if (open == nullptr || is_final(open->state->state()))
+            continue;
+        task& t = open->state->at(run.task.position);
+        // A run that was at work since then has cleared the task.
+        if (t.done || t.passed_probation > run.run)
+            continue;
+        if (t.crashes.unresolved > 0)
+            --t.crashes.unresolved;
+        mark_changed(*open->state);
+        suspects.push_back(run);
+    }
+    if (!crashed)
+        return;
+    record_crash(id, lost.host, suspects, time);
+    give_up_jobs(suspects, time);
+}
+
+void job_scheduler::resolve_lost_targets_of_host(const target_info& successor, scheduler_time time)
+{
+    if (successor.host.empty())
+        return;
+    std::vector<target_id> ended;
+    for (const auto& [id, lost] : lost_targets_) {
+        if (lost.host == successor.host && id != successor.id && lost.incarnation < successor.incarnation)
+            ended.push_back(id);
+    }
+    for (const target_id& id : ended)
+        resolve_lost_target(id, true, time);
+}
+
+void job_scheduler::pass_probation(open_job& open, const task_position& p)
+{
+    task& t = open.state->at(p);
+    end_probation(*t.run);
+    t.run->on_probation = false;
+    t.passed_probation = t.run->number;
+    clear_crash_history(open, t);
+}
+
+void job_scheduler::clear_crash_history(open_job& open, task& t)
+{
+    if (t.crashes.empty())
+        return;
+    t.crashes = {};
+    mark_changed(*open.state);
+    plan_needed_.insert(open.service);
+}
+
+void job_scheduler::start_probation(const task_run& run)
+{
+    target_status* t = find_target(run.target);
+    if (t == nullptr || !run.on_probation)
+        return;
+    ++t->runs_on_probation;
+    if (run.suspected)
+        ++t->suspected_runs;
+}
+
+void job_scheduler::end_probation(const task_run& run)
+{
+    target_status* t = find_target(run.target);
+    if (t == nullptr || !run.on_probation)
+        return;
+    --t->runs_on_probation;
+    if (run.suspected)
+        --t->suspected_runs;
+}
+
+bool job_scheduler::awaits_isolation(const task_key& key)
+{
+    const open_job* open = find_open(key.job);
+    if (open == nullptr || is_final(open->state->state()) || open->state->cancelled())
+        return false;
+    const task& t = open->state->at(key.position);
+    return !t.done && needs_isolation(t.crashes);
+}
+
+void job_scheduler::update_isolation(scheduler_time time)
+{
+    std::erase_if(isolated_tasks_, [this](const task_key& key) { return !awaits_isolation(key); });
+    std::erase_if(isolation_targets_, [this, &time](const auto& entry) {
+        target_status* t = find_target(entry.second);
+        if (t != nullptr && isolated_tasks_.contains(entry.first) &&
+            (t->runs.contains(entry.first) || accepts_work(*t, time.now)))
+            return false;
+        if (t != nullptr) {
+            t->kept_for_isolation = false;
+            plan_needed_.insert(t->info.service);
+        }
+        return true;
+    });
+}
+
+void job_scheduler::plan_isolated_tasks(const service_id& service, const std::vector<target_status*>& pool,
+                                        scheduler_time time)
+{
+    for (const task_key& key : isolated_tasks_) {
+        open_job& open = *find_open(key.job);
+        const step_spec& step = open.state->step(key.position.step);
+        const task& t = open.state->at(key.position);
+        if (open.service != service || t.run || time.now < t.not_before ||
+            !open.state->due(key.position.occurrence, time.unix_ms) ||
+            !open.state->step_ready(key.position.occurrence, key.position.step) || !within_cap(open, step))
+            continue;
+        placement_request request = placement_of(open, key.position);
+        request.isolated = true;
+        target_status* target = keep_target_for(key, request, pool, time);
+        if (target != nullptr && choose_target(request, {target}, time.now) != nullptr)
+            plan_task(open, key.position, *target, time);
+    }
+}
+
+target_status* job_scheduler::keep_target_for(const task_key& key, const placement_request& request,
+                                              const std::vector<target_status*>& pool, scheduler_time time)
+{
+    const auto kept = isolation_targets_.find(key);
+    if (kept != isolation_targets_.end()) {
+        target_status* t = find_target(kept->second);
+        target_status* free =
+            has_capacity(*t, *request.step) ? nullptr : best_for_isolation(request, pool, time.now);
+        if (free == nullptr || !has_capacity(*free, *request.step))
+            return t;
+        t->kept_for_isolation = false;
+        free->kept_for_isolation = true;
+        kept->second = free->info.id;
+        return free;
+    }
+    const auto in_use =
+        std::count_if(pool.begin(), pool.end(), [](const target_status* t) { return t->kept_for_isolation; });
+    const double limit = std::max(1.0, static_cast<double>(pool.size()) * settings_.crashes.isolation_share);
+    if (static_cast<double>(in_use) + 1.0 > limit)
+        return nullptr;
+    target_status* best = best_for_isolation(request, pool, time.now);
+    if (best != nullptr) {
+        best->kept_for_isolation = true;
+        isolation_targets_[key] = best->info.id;
+    }
+    return best;
+}
+
+target_status* job_scheduler::best_for_isolation(const placement_request& request,
+                                                 const std::vector<target_status*>& pool, timestamp now) const
+{
+    // A crash of a host that has crashed before would tell nothing about the task.
+    const auto cost = [&](const target_status* t) {
+        const auto crashed = crashed_hosts_.find(t->info.host);
+        return std::tuple{crashed != crashed_hosts_.end() && now < crashed->second,
+                          !has_capacity(*t, *request.step), t->runs_on_probation, t->runs.size()};
+    };
+    target_status* best = nullptr;
+    for (target_status* t : pool) {
+        if (!t->kept_for_isolation && could_run(*t, request) && (best == nullptr || cost(t) < cost(best)))
+            best = t;
+    }
+    return best;
+}
+
+void job_scheduler::forget_old_crashes(timestamp now)
+{
+    std::erase_if(crashed_hosts_, [now](const auto& entry) { return now >= entry.second; });
+    std::erase_if(lost_targets_, [this, now](const auto& entry) {
+        return now - entry.second.lost_at > settings_.crashes.resolution_time;
+    });
+}
+
+} // namespace mjm
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -49,6 +49,7 @@
 void job_scheduler::plan(scheduler_time time)
 {
     update_queues(time);
+    update_isolation(time);
     if (!may_start(time.now))
         return;
     const std::set<service_id> services = std::exchange(plan_needed_, {});
@@ -80,6 +81,7 @@
     }
     if (pool.empty())
         return;
+    plan_isolated_tasks(service, pool, time);
     unsatisfiable_needs unsatisfiable{pool};
     if (unsatisfiable.covers(queue.smallest_need))
         return;
@@ -118,12 +120,14 @@
     for (std::uint32_t n = 0; n < step.tasks; ++n) {
         const task_position p{occurrence, number, n};
         const task& t = open.state->at(p);
-        if (t.done || t.run || time.now < t.not_before)
+        if (t.done || t.run || time.now < t.not_before || needs_isolation(t.crashes))
             continue;
         if (!within_cap(open, step))
             return;
         target_status* target = choose_target(placement_of(open, p), pool, time.now);
         if (target == nullptr) {
+            if (!t.crashes.empty())
+                continue; // Other tasks have fewer conditions.
             // If the step has no other conditions, the only cause is a lack of free capacity.
             if (step.required_label.empty() && step.max_per_target == 0)
                 unsatisfiable.add(need);
@@ -135,8 +139,14 @@
 
 placement_request job_scheduler::placement_of(const open_job& open, const task_position& p) const
 {
-    return {&open.state->step(p.step), &open.step_runs[p.step], open.state->at(p).avoided_target,
-            rack_of_step(open, p.step)};
+    const task& t = open.state->at(p);
+    placement_request request;
+    request.step = &open.state->step(p.step);
+    request.step_runs = &open.step_runs[p.step];
+    request.avoided_target = t.avoided_target;
+    request.preferred_rack = rack_of_step(open, p.step);
+    request.suspected = !t.crashes.empty();
+    return request;
 }
 
 std::string job_scheduler::rack_of_step(const open_job& open, std::uint32_t step) const
@@ -171,6 +181,7 @@
     run.target = target.info.id;
     run.incarnation = target.info.incarnation;
     run.ordered_at = time.now;
+    run.suspected = !t.crashes.empty();
     t.run = std::move(run);
     reserve_capacity(open, p, *t.run);
     mark_changed(j);
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -97,7 +97,8 @@
 {
     unlist_target(t.info.id, time);
     t.reachable = false;
-    discard_runs_of_target(t, "address belongs to another target", time);
+    resolve_lost_target(t.info.id, true, time);
+    lose_runs(t, {t.runs.begin(), t.runs.end()}, "address belongs to another target", time);
 }
 
 std::vector<target_id> job_scheduler::due_observations(timestamp now) const
@@ -139,7 +140,9 @@
     }
     if (t.synced && t.reachable && !t.runs.empty() && t.unstored.empty() &&
         t.ordered_down_at == timestamp{} && !has_stopped_run(t))
-        request.wait = settings_.observation_wait;
+        request.wait = t.suspected_runs == 0
+                           ? settings_.observation_wait
+                           : std::min(settings_.observation_wait, settings_.crashes.probation / 2);
     return request;
 }
 
@@ -167,6 +170,7 @@
     }
     if (report->incarnation != t->info.incarnation)
         on_target_restart(*t, report->incarnation, time);
+    resolve_lost_target(target, false, time);
     set_clock(*t, report->clock_ms, time.now);
     t->synced = true;
     for (const listed_end& end : report->ended) {
@@ -193,10 +197,13 @@
     t.ends_seen = 0;
     t.ends_acknowledged = 0;
     t.unstored.clear();
-    for_runs(t, [&](open_job& open, const task_position& p, const task_run& run) {
+    resolve_lost_target(t.info.id, true, time);
+    std::vector<task_key> lost;
+    for_runs(t, [&](const open_job& open, const task_position& p, const task_run& run) {
         if (run.incarnation != incarnation)
-            discard_run(open, p, "target restarted", time);
+            lost.push_back({open.state->id(), p});
     });
+    lose_runs(t, lost, "target restarted", time);
 }
 
 void job_scheduler::on_no_report(target_status& t, order_errc ec, scheduler_time time)
@@ -251,6 +258,8 @@
     }
     if (!end.checkpoint.empty())
         it.checkpoint = end.checkpoint;
+    if (end.how == run_end::done || end.how == run_end::failed)
+        clear_crash_history(*open, it);
     if (end.how == run_end::done && !permanent) {
         j.finish_task(end.task.position);
         t.failures_in_a_row = 0;
@@ -306,6 +315,10 @@
         if (it->run->phase == run_phase::stopping && !it->run->order_pending &&
             it->run->answered_at != timestamp{} && sent_at - it->run->answered_at > settings_.stop_retry)
             send_stop({open->state->id(), r.task.position}, *it->run, time.now);
+        if (it->run->phase == run_phase::running && it->run->on_probation &&
+            it->run->answered_at != timestamp{} &&
+            sent_at - it->run->answered_at >= settings_.crashes.probation)
+            pass_probation(*open, r.task.position);
         if (it->run->phase == run_phase::unconfirmed || it->run->phase == run_phase::ordered) {
             it->run->phase = run_phase::running;
             it->run->answered_at = sent_at;
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_types.h"
+#include "jobs/crash_history.h"
 #include "jobs/straggler.h"
 
 #include <cstdint>
@@ -55,6 +56,7 @@
     /// part of the shortest tasks' run time.
     duration run_check_interval{std::chrono::milliseconds{100}};
     straggler_settings stragglers;
+    crash_settings crashes;
     /// Maximum number of attempts of a task whose queue is no longer configured.
     std::uint32_t default_attempts = 2;
     /// Tail latency, as a fraction of the objective, above which backfill tasks on the target are slowed
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -29,8 +29,11 @@
     bool maintained_soon = false; ///< Whether its host will be maintained soon.
     int missed_observations = 0;  ///< Observations without an answer since the last answer.
 
-    resources used;          ///< Reserved by the runs in `runs`.
-    std::set<task_key> runs; ///< Tasks of which a run is planned or may be running on the target.
+    resources used;                    ///< Reserved by the runs in `runs`.
+    std::set<task_key> runs;           ///< Tasks of which a run is planned or may be running on the target.
+    std::size_t runs_on_probation = 0; ///< Those of the runs that may be the cause if the target crashes.
+    std::size_t suspected_runs = 0;    ///< Those on probation whose tasks were in crashes before.
+    bool kept_for_isolation = false;   ///< Whether only an isolated run may be placed on it.
 
     bool clock_known = false;
     std::int64_t clock_ms = 0; ///< The target's clock at `clock_at`.
--- /dev/null
+++ b/src/plugins/jobs/tests/tst_target_crashes.cpp
@@ -0,0 +1,312 @@
+#include "jobs/crash_history.h"
+#include "jobs/job_codec.h"
+#include "scheduler_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace mjm;
+using namespace std::chrono_literals;
+
+namespace {
+
+void add_targets(scheduler_fixture& f, const std::vector<std::string>& names)
+{
+    for (const std::string& name : names)
+        f.add_target(name);
+}
+
+/// Plays that the target's address is answered by another target.
+void crash(scheduler_fixture& f, const target_id& target)
+{
+    const timestamp sent_at = f.now().now;
+    static_cast<void>(f.scheduler.begin_observation(target, sent_at));
+    f.scheduler.on_report(target, tl::unexpected{order_errc::other_instance}, sent_at, f.now());
+}
+
+/// Confirms the starts that are due and returns them.
+std::vector<start_command> start_all(scheduler_fixture& f)
+{
+    f.advance(100ms);
+    std::vector<start_command> starts = f.plan_and_store();
+    for (const start_command& s : starts)
+        f.confirm(s);
+    return starts;
+}
+
+std::vector<start_command> starts_of(const std::vector<start_command>& starts, const std::string& job)
+{
+    std::vector<start_command> out;
+    std::copy_if(starts.begin(), starts.end(), std::back_inserter(out),
+                 [&job](const start_command& s) { return s.order.task.job == job_id{job}; });
+    return out;
+}
+
+/// Reports that the target has been running these runs for longer than the probation time.
+void pass_probation(scheduler_fixture& f, const target_id& target, const std::vector<start_command>& starts)
+{
+    f.advance(600ms);
+    std::vector<listed_run> runs;
+    std::transform(starts.begin(), starts.end(), std::back_inserter(runs), running);
+    f.report(target, runs);
+}
+
+void lose_in_silence(scheduler_fixture& f, const target_id& target)
+{
+    for (int i = 0; i < 30 && f.scheduler.targets().contains(target); ++i) {
+        f.miss(target);
+        f.advance(300ms);
+    }
+}
+
+crash_history history_of(const scheduler_fixture& f, const std::string& job, std::uint32_t index = 0)
+{
+    return f.scheduler.find_job(job_id{job})->at({0, 0, index}).crashes;
+}
+
+} // namespace
+
+TEST_CASE("a task that crashes target after target is given up, and the tasks beside it are not")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a", "b", "c", "d", "e", "f", "g", "h"});
+    f.add_job("bad", 1);
+    f.add_job("good", 3);
+    int crashes = 0;
+    while (!is_final(f.scheduler.find_job(job_id{"bad"})->state()) && crashes < 6) {
+        const std::vector<start_command> bad = starts_of(start_all(f), "bad");
+        REQUIRE(bad.size() == 1);
+        crash(f, bad[0].target.id);
+        ++crashes;
+    }
+    CHECK(crashes == 3);
+    CHECK(f.scheduler.find_job(job_id{"bad"})->state() == job_state::failed);
+    CHECK(f.scheduler.find_job(job_id{"good"})->state() != job_state::failed);
+    CHECK(start_all(f).empty());
+    CHECK(history_of(f, "good").attributed == 0);
+}
+
+TEST_CASE("a failure caused by crashes is shown only when the store has it")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a", "b", "c"});
+    f.add_job("bad", 1);
+    for (int i = 0; i < 2; ++i) {
+        const std::vector<start_command> starts = start_all(f);
+        REQUIRE(starts.size() == 1);
+        crash(f, starts[0].target.id);
+    }
+    const job& bad = *f.scheduler.find_job(job_id{"bad"});
+    CHECK(bad.state() == job_state::failed);
+    CHECK(bad.shown_state() == job_state::running);
+    f.scheduler.on_stored(f.scheduler.unstored(10), f.now());
+    CHECK(bad.shown_state() == job_state::failed);
+}
+
+TEST_CASE("tasks that were lost in one crash are not placed on one target again")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a", "b", "c", "d"});
+    f.add_job("j", 3);
+    const std::vector<start_command> first = start_all(f);
+    REQUIRE(first.size() == 3);
+    REQUIRE(first[0].target.id == first[2].target.id);
+    crash(f, first[0].target.id);
+    const std::vector<start_command> second = start_all(f);
+    REQUIRE(second.size() == 3);
+    CHECK(second[0].target.id != second[1].target.id);
+    CHECK(second[0].target.id != second[2].target.id);
+    CHECK(second[1].target.id != second[2].target.id);
+}
+
+TEST_CASE("no other run starts beside an isolated one during its probation")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a", "b", "c"});
+    f.add_job("bad", 1);
+    const std::vector<start_command> first = start_all(f);
+    REQUIRE(first.size() == 1);
+    crash(f, first[0].target.id);
+    const std::vector<start_command> second = start_all(f);
+    REQUIRE(second.size() == 1);
+    const target_id alone = second[0].target.id;
+    f.add_job("other", 20);
+    for (const start_command& s : start_all(f))
+        CHECK(s.target.id != alone);
+
+    pass_probation(f, alone, second);
+    CHECK(history_of(f, "bad").empty());
+    f.add_job("more", 4);
+    bool used = false;
+    for (const start_command& s : start_all(f))
+        used = used || s.target.id == alone;
+    CHECK(used);
+}
+
+TEST_CASE("a crash accuses no task that had been at work for the probation time")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a", "b"});
+    const std::vector<start_command> old_runs = f.run_job("old", 2);
+    REQUIRE(old_runs.size() == 2);
+    pass_probation(f, old_runs[0].target.id, old_runs);
+    f.add_job("new", 1);
+    const std::vector<start_command> fresh = start_all(f);
+    REQUIRE(fresh.size() == 1);
+    REQUIRE(fresh[0].target.id == old_runs[0].target.id);
+    crash(f, fresh[0].target.id);
+    CHECK(history_of(f, "old", 0).empty());
+    CHECK(history_of(f, "old", 1).empty());
+    CHECK(history_of(f, "new") == crash_history{1, 1, 0});
+}
+
+TEST_CASE("a target that was only silent accuses no task")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a"});
+    const std::vector<start_command> starts = f.run_job("j", 1);
+    REQUIRE(starts.size() == 1);
+    lose_in_silence(f, target_id{"a"});
+    CHECK(history_of(f, "j") == crash_history{0, 0, 1});
+    f.report(target_id{"a"}, {});
+    CHECK(history_of(f, "j").empty());
+    CHECK(f.scheduler.find_job(job_id{"j"})->state() != job_state::failed);
+}
+
+TEST_CASE("targets that stay silent never fail a job")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a", "b", "c", "d", "e", "f", "g", "h"});
+    f.add_job("j", 1);
+    for (int i = 0; i < 8; ++i) {
+        const std::vector<start_command> starts = start_all(f);
+        REQUIRE(starts.size() == 1);
+        lose_in_silence(f, starts[0].target.id);
+    }
+    CHECK_FALSE(is_final(f.scheduler.find_job(job_id{"j"})->state()));
+}
+
+TEST_CASE("a crash that shows only after the lease of the target has run out is counted")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a"});
+    REQUIRE(f.run_job("j", 1).size() == 1);
+    SECTION("the target restarts under its id")
+    {
+        lose_in_silence(f, target_id{"a"});
+        f.report(target_id{"a"}, {}, {}, 2);
+    }
+    SECTION("its host has a new target")
+    {
+        f.scheduler.unlist_target(target_id{"a"}, f.now());
+        lose_in_silence(f, target_id{"a"});
+        target_info successor = f.info_of("a2");
+        successor.host = "host-a";
+        successor.incarnation = 2;
+        f.scheduler.set_target(successor, f.now());
+    }
+    CHECK(history_of(f, "j") == crash_history{1, 1, 0});
+}
+
+TEST_CASE("the end of a target that was expected accuses no task")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a"});
+    REQUIRE(f.run_job("j", 1).size() == 1);
+    SECTION("it was draining")
+    {
+        target_info info = f.info_of("a");
+        info.state = target_state::draining;
+        f.scheduler.set_target(info, f.now());
+        info.state = target_state::ready;
+        info.incarnation = 2;
+        f.scheduler.set_target(info, f.now());
+    }
+    SECTION("its host was ordered down")
+    {
+        f.scheduler.set_leaving(target_id{"a"}, true);
+        crash(f, target_id{"a"});
+    }
+    CHECK(f.scheduler.find_job(job_id{"j"})->active_runs() == 0);
+    CHECK(history_of(f, "j").empty());
+}
+
+TEST_CASE("crashes of a host that crashes again and again are not attributed to its tasks")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a"});
+    f.add_job("first", 2);
+    REQUIRE(start_all(f).size() == 2);
+    f.report(target_id{"a"}, {}, {}, 2); // Two suspects, so that the host is distrusted from now on.
+    f.scheduler.cancel_job(job_id{"first"}, f.now());
+    f.add_job("second", 1);
+    for (target_incarnation born = 3; born < 7; ++born) {
+        REQUIRE(start_all(f).size() == 1);
+        f.report(target_id{"a"}, {}, {}, born);
+        CHECK(history_of(f, "second").attributed == 0);
+    }
+    CHECK(history_of(f, "second").crashes == 4);
+    CHECK_FALSE(is_final(f.scheduler.find_job(job_id{"second"})->state()));
+}
+
+TEST_CASE("the crash history of a task survives a change of leader")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a", "b", "c"});
+    f.add_job("bad", 1);
+    const std::vector<start_command> starts = start_all(f);
+    REQUIRE(starts.size() == 1);
+    crash(f, starts[0].target.id);
+    const std::vector<progress_write> stored = f.scheduler.unstored(10);
+    REQUIRE(stored.size() == 1);
+
+    scheduler_fixture next;
+    add_targets(next, {"d", "e"});
+    REQUIRE(next.scheduler.restore_job(next.record_of("bad", 1), stored[0].text, next.now()));
+    CHECK(history_of(next, "bad") == crash_history{1, 1, 0});
+    const std::vector<start_command> again = start_all(next);
+    REQUIRE(again.size() == 1);
+    crash(next, again[0].target.id);
+    CHECK(next.scheduler.find_job(job_id{"bad"})->state() == job_state::failed);
+}
+
+TEST_CASE("a crash during a change of leader is counted by the next leader")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a"});
+    f.add_job("j", 1);
+    f.scheduler.plan(f.now());
+    const std::vector<progress_write> stored = f.scheduler.unstored(10);
+    REQUIRE(stored.size() == 1);
+
+    scheduler_fixture next;
+    REQUIRE(next.scheduler.restore_job(next.record_of("j", 1), stored[0].text, next.now()));
+    target_info info = next.info_of("a");
+    info.incarnation = 2;
+    next.scheduler.set_target(info, next.now());
+    next.report(target_id{"a"}, {}, {}, 2);
+    CHECK(history_of(next, "j") == crash_history{1, 1, 0});
+}
+
+TEST_CASE("a crash is attributed to the only suspect, or to the only one with the most earlier crashes")
+{
+    CHECK_FALSE(probable_cause({}));
+    CHECK(probable_cause({{}}) == 0U);
+    CHECK_FALSE(probable_cause({{}, {}}));
+    CHECK(probable_cause({{}, {1, 0, 0}, {}}) == 1U);
+    CHECK_FALSE(probable_cause({{1, 0, 0}, {1, 1, 0}}));
+    CHECK(probable_cause({{1, 0, 0}, {2, 0, 0}}) == 1U);
+    CHECK_FALSE(probable_cause({{0, 0, 3}, {}}));
+}
+
+TEST_CASE("a job is given up for attributed crashes or for many starts with at least two crashes")
+{
+    const crash_settings settings;
+    CHECK_FALSE(exceeds_limit({1, 1, 0}, settings));
+    CHECK(exceeds_limit({2, 2, 0}, settings));
+    CHECK_FALSE(exceeds_limit({4, 1, 0}, settings));
+    CHECK(exceeds_limit({5, 0, 0}, settings));
+    CHECK(exceeds_limit({2, 0, 3}, settings));
+    CHECK_FALSE(exceeds_limit({1, 0, 9}, settings));
+}
