Move the simulated entry hosts into a file of their own

Cause: further files with scenarios need the simulation of whole entry hosts, which stood in tst_job_node.cpp. Change: entry_host and fleet_simulation move to fleet_simulation.h and .cpp; no case changes what it plays or checks.

--- /dev/null
+++ b/src/plugins/jobs/tests/fleet_simulation.cpp
@@ -0,0 +1,136 @@
+#include "fleet_simulation.h"
+
+#include "jobs/job_keys.h"
+
+#include <cstdlib>
+#include <utility>
+
+using namespace std::chrono_literals;
+
+namespace mjm {
+
+entry_host::entry_host(virtual_loop& loop, fake_transaction_store& store, fake_fleet& fleet,
+                       const std::string& name, std::uint64_t seed)
+    : link{loop, store}, loop_{loop}, orders_{fleet}, directory_{loop, fleet},
+      operations_{loop, fleet}, random_{seed}, name_{name}
+{
+    operations_.store = &store;
+}
+
+void entry_host::start(std::shared_ptr<const fleet_config> config,
+                       const std::map<std::string, maintenance_wave>& waves)
+{
+    job_node_settings settings;
+    settings.peer_address = name_;
+    node = std::make_unique<job_node>(settings, job_node_services{link, orders_, directory_, &operations_,
+                                                                  leader_, loop_, loop_.time(), random_,
+                                                                  logger{sink_, name_}, metrics_});
+    node->set_config(std::move(config));
+    node->set_waves(waves);
+}
+
+fleet_simulation::fleet_simulation(std::uint64_t seed, int standby_hosts) : random{seed}, fleet{loop, random}
+{
+    std::shared_ptr<fleet_config> c = std::make_shared<fleet_config>();
+    queue_config q;
+    q.id = queue_id{"q"};
+    q.host = "h";
+    q.prefix = "/q/";
+    q.service = service_id{"s"};
+    q.anonymous = true;
+    q.max_attempts = 3;
+    q.stretch = 2.0;
+    c->queues.push_back(q);
+    c->services.emplace(q.service, service_config{q.service, true, false});
+    if (standby_hosts > 0) {
+        const service_id off{"off"};
+        c->services.emplace(off, service_config{off, true, true});
+        for (int i = 0; i < standby_hosts; ++i)
+            fleet.add_host("x" + std::to_string(i), off);
+    }
+    config = c;
+    fleet.run_time = [this](const task_key& key) -> std::optional<duration> {
+        if (key.job.str().starts_with("serving"))
+            return std::nullopt;
+        return duration{std::chrono::milliseconds{200 + random.below(1500)}};
+    };
+    for (int i = 0; i < 6; ++i)
+        fleet.add_host("h" + std::to_string(i), service_id{"s"});
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        hosts.push_back(
+            std::make_unique<entry_host>(loop, store, fleet, "e" + std::to_string(i), seed * 10 + i));
+        hosts.back()->start(config, waves);
+    }
+}
+
+void fleet_simulation::run_for(duration d)
+{
+    loop.run_for(d, [this] {
+        fleet.step();
+        for (const std::unique_ptr<entry_host>& h : hosts) {
+            if (h->node)
+                h->node->tick();
+            if (h->node && h->node->leader() != nullptr)
+                query_states(*h->node->leader());
+        }
+    });
+}
+
+void fleet_simulation::query_states(const job_leader& leader)
+{
+    for (const std::string& id : accepted) {
+        const tl::expected<job_state, leader_errc> state = leader.state_of(job_id{id});
+        if (state && *state == job_state::completed)
+            fleet.shown_completed.insert(job_id{id});
+    }
+}
+
+void fleet_simulation::submit(const std::string& id, std::uint32_t tasks, bool permanent)
+{
+    job_spec spec;
+    step_spec step;
+    step.tasks = tasks;
+    step.need = {1500, 1024, 0, 0};
+    step.estimate = 1s;
+    step.permanent = permanent;
+    step.max_unavailable = permanent ? 1 : 0;
+    spec.steps.push_back(step);
+    if (!permanent) {
+        step.tasks = 1;
+        step.after = {0};
+        spec.steps.push_back(step);
+    }
+    for (const std::unique_ptr<entry_host>& h : hosts) {
+        if (!h->node)
+            continue;
+        h->node->front().submit({"h", "/q/" + id, {}}, spec,
+                                [this, id](const tl::expected<void, front_errc>& r) {
+                                    if (r)
+                                        accepted.insert(id);
+                                });
+        return;
+    }
+}
+
+entry_host* fleet_simulation::leader()
+{
+    for (const std::unique_ptr<entry_host>& h : hosts) {
+        if (h->node && h->node->leader() != nullptr)
+            return h.get();
+    }
+    return nullptr;
+}
+
+bool fleet_simulation::completed(const std::string& id)
+{
+    const fake_transaction_store::record* r = store.find(std::string{job_keys::progress} + id);
+    return r != nullptr && r->value.find("\"completed\"") != std::string::npos;
+}
+
+std::uint64_t environment_number(const char* name, std::uint64_t fallback)
+{
+    const char* text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+} // namespace mjm
--- /dev/null
+++ b/src/plugins/jobs/tests/fleet_simulation.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/random_source.h"
+#include "fake_targets.h"
+#include "fake_transaction_store.h"
+#include "jobs/job_node.h"
+#include "no_leader.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mjm {
+
+/// An entry host whose process can be killed and restarted, and whose connection to the store can be cut.
+class entry_host {
+public:
+    entry_host(virtual_loop& loop, fake_transaction_store& store, fake_fleet& fleet, const std::string& name,
+               std::uint64_t seed);
+
+    void start(std::shared_ptr<const fleet_config> config,
+               const std::map<std::string, maintenance_wave>& waves);
+    void kill() { node.reset(); }
+
+    fake_store_link link;
+
+    [[nodiscard]] fake_host_operations& operations() { return operations_; }
+    [[nodiscard]] fake_directory& directory() { return directory_; }
+
+private:
+    virtual_loop& loop_;
+    fake_fleet_orders orders_;
+    fake_directory directory_;
+    fake_host_operations operations_;
+    no_leader leader_;
+    seeded_random random_;
+    log_sink sink_{log_settings{}, loop_.time(), [](const std::string&) {}};
+    metric_registry metrics_;
+    std::string name_;
+
+public:
+    /// Declared last, so that it is destroyed before the fakes that it calls.
+    std::unique_ptr<job_node> node;
+};
+
+/// Three entry hosts, six hosts with targets and a store, in one thread and virtual time.
+class fleet_simulation {
+public:
+    explicit fleet_simulation(std::uint64_t seed, int standby_hosts = 0);
+
+    void run_for(duration d);
+    /// Asks for the states of all accepted jobs, as callers may do at any time.
+    void query_states(const job_leader& leader);
+    void submit(const std::string& id, std::uint32_t tasks, bool permanent = false);
+    /// Returns nullptr if no entry host leads.
+    [[nodiscard]] entry_host* leader();
+    [[nodiscard]] bool completed(const std::string& id);
+
+    virtual_loop loop;
+    seeded_random random;
+    fake_transaction_store store{loop};
+    fake_fleet fleet;
+    std::shared_ptr<const fleet_config> config;
+    std::map<std::string, maintenance_wave> waves;
+    std::vector<std::unique_ptr<entry_host>> hosts;
+    std::set<std::string> accepted;
+};
+
+/// Returns the number in the environment variable, or `fallback` if it is not set.
+[[nodiscard]] std::uint64_t environment_number(const char* name, std::uint64_t fallback);
+
+} // namespace mjm
