Play tasks that crash their targets in the simulated fleet

Users report tasks that are started again and again although they crash each target (rule BUDGET). Cause: the fake fleet could not play it: all hosts had one address, a restarted target always had a new one, crashed targets vanished from discovery at once, and no task crashed its target. Change: an address for each host; a target returns under a new address, under its former address with a new id (calls for the old id get other_instance), or with the same id; crashed targets stay listed for 4.5 s; deadly tasks crash their target 10 ms after each start. Reported: three starts in time by an entry host without faults after the third crash. Their jobs must become failed, all others completed. An order on its way ends with the process that would have received it.

--- a/src/plugins/jobs/tests/fakes/fake_targets.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_targets.cpp
@@ -3,6 +3,9 @@
 #include "fake_transaction_store.h"
 #include "jobs/job_keys.h"
 
+#include <algorithm>
+#include <type_traits>
+
 namespace mjm {
 
 namespace {
@@ -13,6 +16,10 @@
 constexpr std::chrono::milliseconds move_time{1500};
 // The platform's lease time, within which two leaders must not order the same host.
 constexpr std::chrono::milliseconds order_lease{3000};
+constexpr std::chrono::milliseconds time_until_crash{10};
+// A task must not be started three times more after three targets have crashed under it.
+constexpr int crashes_limit = 3;
+constexpr int later_starts_limit = 3;
 
 } // namespace
 
@@ -27,19 +34,22 @@
     return it == hosts_.end() ? nullptr : &it->second;
 }
 
-fake_fleet::target* fake_fleet::find(const target_ref& to)
+fake_fleet::target* fake_fleet::answering(const http_endpoint& at)
 {
     for (auto& [host, t] : hosts_) {
-        if (t.info.id == to.id && t.up && !t.cut)
+        if (t.info.endpoint == at && t.up && !t.cut)
             return &t;
     }
     return nullptr;
 }
 
-void fake_fleet::start_incarnation(target& t)
+void fake_fleet::start_incarnation(target& t, restart_kind kind)
 {
     t.info.incarnation = ++last_incarnation_;
-    t.info.id = target_id{t.info.host + "-" + std::to_string(last_incarnation_)};
+    if (kind != restart_kind::same_id)
+        t.info.id = target_id{t.info.host + "-" + std::to_string(last_incarnation_)};
+    if (kind == restart_kind::new_address)
+        t.info.endpoint = {"10.0.0.1", ++last_port_};
     t.up = true;
     t.token = 0;
     t.running.clear();
@@ -54,20 +64,34 @@
     target& t = hosts_[host];
     t.info.host = host;
     t.info.service = service;
-    t.info.endpoint = {"10.0.0.1", 80};
     t.info.capacity = {8'000, 32'768, 0, 0};
-    start_incarnation(t);
+    start_incarnation(t, restart_kind::new_address);
 }
 
 void fake_fleet::crash(const std::string& host)
 {
-    find(host)->up = false;
-    find(host)->running.clear();
+    target* t = find(host);
+    if (t->up && entry_lifetime > duration{0})
+        stale_entries_.push_back({t->info, loop_.time().now() + entry_lifetime});
+    t->up = false;
+    t->running.clear();
+}
+
+void fake_fleet::restart(const std::string& host, restart_kind kind)
+{
+    start_incarnation(*find(host), kind);
 }
 
-void fake_fleet::restart(const std::string& host)
+void fake_fleet::crash_for(const std::string& host, restart_kind kind, duration delay)
 {
-    start_incarnation(*find(host));
+    target* t = find(host);
+    if (!t->up)
+        return;
+    crash(host);
+    loop_.after(delay, [this, host, kind, incarnation = t->info.incarnation] {
+        if (find(host)->info.incarnation == incarnation)
+            restart(host, kind);
+    });
 }
 
 void fake_fleet::end(target& t, const task_key& task, run_end how)
@@ -85,7 +109,7 @@
     t.running.erase(it);
 }
 
-void fake_fleet::begin(target& t, const start_order& order)
+void fake_fleet::begin(target& t, const start_order& order, bool in_time)
 {
     ++starts;
     if (done_tasks.contains(order.task))
@@ -102,102 +126,116 @@
     r.permanent = !length;
     r.ends = loop_.time().now() + length.value_or(duration{0});
     t.running[order.task] = r;
+    if (deadly && deadly(order.task))
+        begin_deadly(t, order.task, in_time);
+}
+
+void fake_fleet::begin_deadly(const target& t, const task_key& task, bool in_time)
+{
+    deadly_history& history = deadly_tasks[task];
+    ++history.starts;
+    if (history.crashes >= crashes_limit && in_time && ++history.starts_after_limit == later_starts_limit)
+        violations.push_back("started three times after three crashes: " + to_string(task));
+    loop_.after(time_until_crash, [this, host = t.info.host, task, incarnation = t.info.incarnation] {
+        const target* crashing = find(host);
+        if (!crashing->up || crashing->info.incarnation != incarnation || !crashing->running.contains(task))
+            return;
+        ++deadly_tasks[task].crashes;
+        crash_for(host, restart_after_crash, restart_delay);
+    });
 }
 
 template <typename Callback, typename Effect>
-void fake_fleet::deliver(Callback done, Effect effect)
+void fake_fleet::deliver(const target_ref& to, Callback done, Effect effect)
 {
+    const target* receiver = answering(to.endpoint);
+    if (receiver == nullptr) {
+        loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
+        return;
+    }
+    using result = std::invoke_result_t<Effect, target&, bool>;
+    // An order on its way ends with the process that would have received it.
+    const auto arrive = [this, to, effect, incarnation = receiver->info.incarnation](bool late) -> result {
+        target* t = answering(to.endpoint);
+        if (t == nullptr || t->info.incarnation != incarnation)
+            return tl::unexpected{order_errc::no_answer};
+        if (t->info.id != to.id)
+            return tl::unexpected{order_errc::other_instance};
+        return effect(*t, late);
+    };
     const bool late = random_.chance(late_orders);
     const bool lost = random_.chance(lost_answers);
     if (late || lost) {
         const duration delay =
             late ? duration{std::chrono::milliseconds{2000 + random_.below(10'000)}} : duration{latency};
-        loop_.after(delay, [effect] { static_cast<void>(effect()); });
+        loop_.after(delay, [arrive, late] { static_cast<void>(arrive(late)); });
         loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
         return;
     }
-    loop_.after(latency, [done, effect] { done(effect()); });
+    loop_.after(latency, [done, arrive] { done(arrive(false)); });
 }
 
-void fake_fleet::start(const target_ref& to, const start_order& order,
+void fake_fleet::start(const target_ref& to, const start_order& order, bool sender_in_touch,
                        const target_orders::order_callback& done)
 {
-    if (find(to) == nullptr) {
-        loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
-        return;
-    }
-    deliver(done, [this, to, order]() -> tl::expected<order_answer, order_errc> {
-        target* t = find(to);
-        if (t == nullptr)
-            return tl::unexpected{order_errc::no_answer};
-        if (order.token < t->token)
-            return tl::unexpected{order_errc::fenced};
-        t->token = order.token;
-        if (order.deadline_ms <= clock_ms())
-            return tl::unexpected{order_errc::too_late};
-        t->lease_until = std::max(
-            t->lease_until, loop_.time().now() + std::chrono::milliseconds{order.deadline_ms - clock_ms()});
-        const auto closed = t->closed.find(order.task);
-        if (closed != t->closed.end() && order.run <= closed->second)
-            return tl::unexpected{order_errc::superseded};
-        if (!t->running.contains(order.task))
-            begin(*t, order);
-        return order_answer{clock_ms()};
-    });
+    deliver(to, done,
+            [this, order, sender_in_touch](target& t, bool late) -> tl::expected<order_answer, order_errc> {
+                if (order.token < t.token)
+                    return tl::unexpected{order_errc::fenced};
+                t.token = order.token;
+                if (order.deadline_ms <= clock_ms())
+                    return tl::unexpected{order_errc::too_late};
+                t.lease_until =
+                    std::max(t.lease_until,
+                             loop_.time().now() + std::chrono::milliseconds{order.deadline_ms - clock_ms()});
+                const auto closed = t.closed.find(order.task);
+                if (closed != t.closed.end() && order.run <= closed->second)
+                    return tl::unexpected{order_errc::superseded};
+                if (!t.running.contains(order.task))
+                    begin(t, order, sender_in_touch && !late);
+                return order_answer{clock_ms()};
+            });
 }
 
 void fake_fleet::stop(const target_ref& to, const task_key& task, run_number number, fencing_token token,
                       const target_orders::order_callback& done)
 {
-    if (find(to) == nullptr) {
-        loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
-        return;
-    }
-    deliver(done, [this, to, task, number, token]() -> tl::expected<order_answer, order_errc> {
-        target* t = find(to);
-        if (t == nullptr)
-            return tl::unexpected{order_errc::no_answer};
-        if (token < t->token)
-            return tl::unexpected{order_errc::fenced};
-        t->token = token;
-        const auto it = t->running.find(task);
-        if (it != t->running.end() && it->second.number <= number)
-            end(*t, task, run_end::stopped);
-        t->closed[task] = std::max(t->closed[task], number);
-        return order_answer{clock_ms()};
-    });
+    deliver(to, done,
+            [this, task, number, token](target& t, bool /*late*/) -> tl::expected<order_answer, order_errc> {
+                if (token < t.token)
+                    return tl::unexpected{order_errc::fenced};
+                t.token = token;
+                const auto it = t.running.find(task);
+                if (it != t.running.end() && it->second.number <= number)
+                    end(t, task, run_end::stopped);
+                t.closed[task] = std::max(t.closed[task], number);
+                return order_answer{clock_ms()};
+            });
 }
 
 void fake_fleet::observe(const target_ref& to, const lease_request& request,
                          const target_orders::report_callback& done)
 {
-    if (find(to) == nullptr) {
-        loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
-        return;
-    }
-    deliver(done, [this, to, request]() -> tl::expected<target_report, order_errc> {
-        target* t = find(to);
-        if (t == nullptr)
-            return tl::unexpected{order_errc::no_answer};
-        if (request.token < t->token)
+    deliver(to, done, [this, request](target& t, bool /*late*/) -> tl::expected<target_report, order_errc> {
+        if (request.token < t.token)
             return tl::unexpected{order_errc::fenced};
-        t->token = request.token;
+        t.token = request.token;
         if (request.deadline_ms > clock_ms())
-            t->lease_until =
-                std::max(t->lease_until,
+            t.lease_until =
+                std::max(t.lease_until,
                          loop_.time().now() + std::chrono::milliseconds{request.deadline_ms - clock_ms()});
-        std::erase_if(t->ended, [&](const listed_end& e) {
+        std::erase_if(t.ended, [&](const listed_end& e) {
             if (e.sequence > request.ends_acknowledged)
                 return false;
-            if (e.how == run_end::done && e.sequence > t->stale_ends)
+            if (e.how == run_end::done && e.sequence > t.stale_ends)
                 done_tasks.insert(e.task);
             return true;
         });
         target_report report;
         report.clock_ms = clock_ms();
-        report.incarnation = t->info.incarnation;
-        report.ended = t->ended;
-        for (const auto& [task, r] : t->running) {
+        report.incarnation = t.info.incarnation;
+        report.ended = t.ended;
+        for (const auto& [task, r] : t.running) {
             listed_run row;
             row.task = task;
             row.run = r.number;
@@ -264,6 +302,12 @@
         if (t.up)
             out.push_back(t.info);
     }
+    for (const stale_entry& entry : stale_entries_) {
+        const bool replaced = std::any_of(out.begin(), out.end(),
+                                          [&entry](const target_info& t) { return t.id == entry.info.id; });
+        if (loop_.time().now() < entry.until && !replaced)
+            out.push_back(entry.info);
+    }
     return out;
 }
 
@@ -286,6 +330,15 @@
     return n;
 }
 
+std::string fake_fleet::host_of(const task_key& task) const
+{
+    for (const auto& [host, t] : hosts_) {
+        if (t.running.contains(task))
+            return host;
+    }
+    return {};
+}
+
 void fake_host_operations::report_wave(const maintenance_wave& wave, bool completed,
                                        const std::string& record, fencing_token /*token*/, done_callback done)
 {
--- a/src/plugins/jobs/tests/fakes/fake_targets.h
+++ b/src/plugins/jobs/tests/fakes/fake_targets.h
@@ -15,6 +15,13 @@
 
 namespace mjm {
 
+/// What a host's next target has in common with the one before.
+enum class restart_kind {
+    new_address,  ///< Nothing: calls for the former target are not answered.
+    same_address, ///< The address: calls for the former target get `order_errc::other_instance`.
+    same_id,      ///< The address and the id, so that only the incarnation differs.
+};
+
 /// Simulates hosts with targets that run tasks under leases and fencing tokens, with faults. Checks
 /// invariants on every start and host order, and records breaches in `violations`.
 class fake_fleet {
@@ -47,13 +54,24 @@
     double lost_answers = 0.0;
     /// Returns the run time of a task, or std::nullopt if it runs until it is stopped.
     std::function<std::optional<duration>(const task_key&)> run_time;
+    /// Returns whether a task crashes each target that starts it; null if none does.
+    std::function<bool(const task_key&)> deadly;
+    /// How and when a target that a task has crashed comes back.
+    restart_kind restart_after_crash = restart_kind::same_address;
+    duration restart_delay{std::chrono::seconds{3}};
+    /// Time for which a crashed target's entry remains in service discovery.
+    duration entry_lifetime{0};
 
     void add_host(const std::string& host, const service_id& service);
     void crash(const std::string& host);
-    void restart(const std::string& host);
+    void restart(const std::string& host, restart_kind kind = restart_kind::new_address);
+    /// Crashes the host's target, if it is up, and restarts it after `delay`.
+    void crash_for(const std::string& host, restart_kind kind, duration delay);
     void set_cut(const std::string& host, bool cut) { find(host)->cut = cut; }
 
-    void start(const target_ref& to, const start_order& order, const target_orders::order_callback& done);
+    /// `sender_in_touch` tells whether the sender has had no fault for a while, so that bounds hold for it.
+    void start(const target_ref& to, const start_order& order, bool sender_in_touch,
+               const target_orders::order_callback& done);
     void stop(const target_ref& to, const task_key& task, run_number number, fencing_token token,
               const target_orders::order_callback& done);
     void observe(const target_ref& to, const lease_request& request,
@@ -65,7 +83,16 @@
     [[nodiscard]] std::vector<target_info> listed() const;
     [[nodiscard]] std::vector<host_info> hosts() const;
     [[nodiscard]] std::size_t running(const job_id& id) const;
-
+    /// Returns the host on whose target the task runs; empty if it runs nowhere.
+    [[nodiscard]] std::string host_of(const task_key& task) const;
+
+    /// Crashes of targets by a deadly task, and starts of it that followed.
+    struct deadly_history {
+        int crashes = 0;
+        int starts = 0;
+        int starts_after_limit = 0; ///< Starts in time by senders in touch, after the third crash.
+    };
+    std::map<task_key, deadly_history> deadly_tasks;
     std::vector<std::string> violations;
     std::set<task_key> done_tasks;
     /// Jobs that were shown to callers as completed. None of their tasks may start.
@@ -82,19 +109,29 @@
     /// Records a violation if another leader gave an order for the host within the platform's lease time.
     void check_host_order(const std::string& host, fencing_token token);
     target* find(const std::string& host);
-    target* find(const target_ref& to);
+    /// Returns the target that answers at the address, or nullptr if none does.
+    target* answering(const http_endpoint& at);
     [[nodiscard]] std::int64_t clock_ms() const;
     void end(target& t, const task_key& task, run_end how);
-    void begin(target& t, const start_order& order);
-    void start_incarnation(target& t);
+    /// `in_time` tells whether bounds on the time of a start hold for this one.
+    void begin(target& t, const start_order& order, bool in_time);
+    void begin_deadly(const target& t, const task_key& task, bool in_time);
+    void start_incarnation(target& t, restart_kind kind);
+    /// Calls `effect(target, late)` when the order arrives, and `done` with its result.
     template <typename Callback, typename Effect>
-    void deliver(Callback done, Effect effect);
+    void deliver(const target_ref& to, Callback done, Effect effect);
 
     virtual_loop& loop_;
     random_source& random_;
     std::map<std::string, target> hosts_;
     std::map<std::string, given_order> host_orders_;
+    struct stale_entry {
+        target_info info;
+        timestamp until;
+    };
+    std::vector<stale_entry> stale_entries_; ///< Of targets that have crashed.
     target_incarnation last_incarnation_ = 0;
+    std::uint16_t last_port_ = 0;
 };
 
 /// Sends the orders of one entry host to the fake fleet.
@@ -102,9 +139,12 @@
 public:
     explicit fake_fleet_orders(fake_fleet& fleet) : fleet_{fleet} {}
 
+    /// Returns whether the entry host has had no fault for a while; null if it never has one.
+    std::function<bool()> in_touch;
+
     void start(const target_ref& target, const start_order& order, order_callback done) override
     {
-        fleet_.start(target, order, done);
+        fleet_.start(target, order, !in_touch || in_touch(), done);
     }
     void stop(const target_ref& target, const task_key& task, run_number run, fencing_token token,
               order_callback done) override
--- a/src/plugins/jobs/tests/fleet_simulation.cpp
+++ b/src/plugins/jobs/tests/fleet_simulation.cpp
@@ -1,5 +1,6 @@
 #include "fleet_simulation.h"
 
+#include "jobs/job_codec.h"
 #include "jobs/job_keys.h"
 
 #include <cstdlib>
@@ -9,12 +10,38 @@
 
 namespace mjm {
 
+namespace {
+
+// The platform's `contact-ms`.
+constexpr std::chrono::milliseconds contact_time{3000};
+
+} // namespace
+
 entry_host::entry_host(virtual_loop& loop, fake_transaction_store& store, fake_fleet& fleet,
                        const std::string& name, std::uint64_t seed)
     : link{loop, store}, loop_{loop}, orders_{fleet}, directory_{loop, fleet},
       operations_{loop, fleet}, random_{seed}, name_{name}
 {
     operations_.store = &store;
+    orders_.in_touch = [this] { return in_touch(); };
+}
+
+void entry_host::kill()
+{
+    node.reset();
+    last_fault_ = loop_.time().now();
+}
+
+void entry_host::note_faults()
+{
+    if (!node || !link.reachable || link.watches_stuck || link.lost_commits > 0 || link.late_commits > 0 ||
+        directory_.frozen)
+        last_fault_ = loop_.time().now();
+}
+
+bool entry_host::in_touch() const
+{
+    return loop_.time().now() - last_fault_ >= contact_time;
 }
 
 void entry_host::start(std::shared_ptr<const fleet_config> config,
@@ -68,6 +95,7 @@
     loop.run_for(d, [this] {
         fleet.step();
         for (const std::unique_ptr<entry_host>& h : hosts) {
+            h->note_faults();
             if (h->node)
                 h->node->tick();
             if (h->node && h->node->leader() != nullptr)
@@ -127,6 +155,12 @@
     return r != nullptr && r->value.find("\"completed\"") != std::string::npos;
 }
 
+job_state fleet_simulation::stored_state(const std::string& id)
+{
+    const fake_transaction_store::record* r = store.find(std::string{job_keys::progress} + id);
+    return r == nullptr ? job_state::pending : decode_progress_state(r->value).value_or(job_state::pending);
+}
+
 std::uint64_t environment_number(const char* name, std::uint64_t fallback)
 {
     const char* text = std::getenv(name);
--- a/src/plugins/jobs/tests/fleet_simulation.h
+++ b/src/plugins/jobs/tests/fleet_simulation.h
@@ -23,7 +23,11 @@
 
     void start(std::shared_ptr<const fleet_config> config,
                const std::map<std::string, maintenance_wave>& waves);
-    void kill() { node.reset(); }
+    void kill();
+    /// Notes a fault that lasts. Called often enough that no fault passes unseen.
+    void note_faults();
+    /// Whether the host has had no fault for 3 s, so that bounds on time hold for what it does.
+    [[nodiscard]] bool in_touch() const;
 
     fake_store_link link;
 
@@ -40,6 +44,7 @@
     log_sink sink_{log_settings{}, loop_.time(), [](const std::string&) {}};
     metric_registry metrics_;
     std::string name_;
+    timestamp last_fault_;
 
 public:
     /// Declared last, so that it is destroyed before the fakes that it calls.
@@ -58,6 +63,8 @@
     /// Returns nullptr if no entry host leads.
     [[nodiscard]] entry_host* leader();
     [[nodiscard]] bool completed(const std::string& id);
+    /// Returns the job's state in the store; `pending` if the store has no progress of it.
+    [[nodiscard]] job_state stored_state(const std::string& id);
 
     virtual_loop loop;
     seeded_random random;
--- /dev/null
+++ b/src/plugins/jobs/tests/tst_job_faults.cpp
@@ -0,0 +1,292 @@
+#include "fleet_simulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mjm;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Time for which service discovery keeps the entry of a target that has crashed: three heartbeats.
+constexpr std::chrono::milliseconds entry_lifetime{4500};
+
+/// Faults that a random run plays besides those of entry hosts, store and links.
+struct fault_switches {
+    bool deadly_tasks = false;
+};
+
+/// Plays random faults for 20 s of virtual time, repairs everything, and checks the end of all jobs.
+class random_faults {
+public:
+    random_faults(std::uint64_t seed, fault_switches switches)
+        : sim_{seed, 3}, random_{sim_.random}, switches_{switches}
+    {
+        sim_.fleet.entry_lifetime = entry_lifetime;
+        sim_.fleet.restart_after_crash = random_restart();
+        sim_.fleet.restart_delay = random_.chance(0.3) ? 6s : 3s;
+        if (switches_.deadly_tasks)
+            sim_.fleet.deadly = is_deadly;
+    }
+
+    void play()
+    {
+        sim_.fleet.late_orders = 0.02;
+        sim_.fleet.lost_answers = 0.03;
+        sim_.run_for(1s);
+        for (int round = 0; round < 40; ++round) {
+            submit_job(round);
+            disturb();
+            sim_.run_for(500ms);
+            repair_some();
+        }
+        repair_all();
+        sim_.run_for(60s);
+        check();
+    }
+
+    /// The first task of a job with such a name crashes each target that starts it.
+    static bool is_deadly(const task_key& key)
+    {
+        return key.job.str().starts_with("deadly") && key.position.step == 0 && key.position.index == 0;
+    }
+
+private:
+    restart_kind random_restart()
+    {
+        return std::array{restart_kind::new_address, restart_kind::same_address,
+                          restart_kind::same_id}[random_.below(3)];
+    }
+    void submit_job(int round)
+    {
+        const bool deadly = switches_.deadly_tasks && round % 8 == 5;
+        sim_.submit((deadly ? "deadly" : "j") + std::to_string(round),
+                    1 + static_cast<std::uint32_t>(random_.below(6)));
+    }
+    void disturb()
+    {
+        entry_host& entry = *sim_.hosts[random_.below(sim_.hosts.size())];
+        const std::string host = "h" + std::to_string(random_.below(6));
+        switch (random_.below(14)) {
+        case 0:
+            entry.kill();
+            break;
+        case 1:
+            entry.link.reachable = false;
+            break;
+        case 2:
+            entry.link.lost_commits = 2;
+            break;
+        case 3:
+            entry.link.late_commits = 1;
+            break;
+        case 4:
+            sim_.fleet.crash_for(host, random_restart(),
+                                 std::chrono::milliseconds{500 + random_.below(6000)});
+            break;
+        case 5:
+            sim_.fleet.set_cut(host, true);
+            break;
+        case 6:
+            sim_.store.forget_history();
+            break;
+        default:
+            break;
+        }
+    }
+    void repair_some()
+    {
+        for (const std::unique_ptr<entry_host>& h : sim_.hosts) {
+            if (!h->node && random_.chance(0.5))
+                h->start(sim_.config, sim_.waves);
+            if (random_.chance(0.3))
+                h->link.reachable = true;
+        }
+        for (const host_info& h : sim_.fleet.hosts()) {
+            if (random_.chance(0.1))
+                sim_.fleet.set_cut(h.id, false);
+        }
+    }
+    void repair_all()
+    {
+        sim_.fleet.late_orders = 0.0;
+        sim_.fleet.lost_answers = 0.0;
+        for (const std::unique_ptr<entry_host>& h : sim_.hosts) {
+            h->link.reachable = true;
+            if (!h->node)
+                h->start(sim_.config, sim_.waves);
+        }
+        for (const host_info& h : sim_.fleet.hosts())
+            sim_.fleet.set_cut(h.id, false);
+    }
+    void check()
+    {
+        for (const auto& [task, history] : sim_.fleet.deadly_tasks)
+            UNSCOPED_INFO(to_string(task) << " started " << history.starts << " times");
+        for (const std::string& violation : sim_.fleet.violations)
+            UNSCOPED_INFO(violation);
+        CHECK(sim_.fleet.violations.empty());
+        for (const std::string& id : sim_.accepted) {
+            CAPTURE(id);
+            CHECK(sim_.stored_state(id) ==
+                  (id.starts_with("deadly") ? job_state::failed : job_state::completed));
+        }
+    }
+
+    fleet_simulation sim_;
+    seeded_random& random_;
+    const fault_switches switches_;
+};
+
+void play_seeds(fault_switches switches, std::uint64_t default_seeds)
+{
+    const std::uint64_t first_seed = environment_number("MJM_FIRST_SEED", 1);
+    const std::uint64_t seeds = environment_number("MJM_SEEDS", default_seeds);
+    for (std::uint64_t seed = first_seed; seed < first_seed + seeds; ++seed) {
+        CAPTURE(seed);
+        random_faults run{seed, switches};
+        run.play();
+    }
+}
+
+/// A simulation in which crashed targets stay listed and all tasks take 0.8 s.
+void prepare(fleet_simulation& sim)
+{
+    sim.fleet.entry_lifetime = entry_lifetime;
+    sim.fleet.deadly = random_faults::is_deadly;
+    sim.fleet.run_time = [](const task_key&) { return duration{800ms}; };
+    sim.run_for(3s);
+}
+
+void submit_others(fleet_simulation& sim)
+{
+    for (int i = 0; i < 8; ++i)
+        sim.submit("j" + std::to_string(i), 4);
+}
+
+/// Checks that the deadly tasks were given up in time, and that no other job has failed.
+void check_deadly_ends(fleet_simulation& sim)
+{
+    for (const auto& [task, history] : sim.fleet.deadly_tasks) {
+        CAPTURE(to_string(task), history.crashes, history.starts);
+        CHECK(history.starts_after_limit < 3);
+    }
+    for (const std::string& id : sim.accepted) {
+        CAPTURE(id);
+        CHECK(sim.stored_state(id) == (id.starts_with("deadly") ? job_state::failed : job_state::completed));
+    }
+    for (const std::string& violation : sim.fleet.violations)
+        UNSCOPED_INFO(violation);
+    CHECK(sim.fleet.violations.empty());
+}
+
+} // namespace
+
+// Guards against a task that is started without end although it crashes each target.
+TEST_CASE("a task that crashes its targets is given up when they return under a new id", "[.][known-red]")
+{
+    fleet_simulation sim{41};
+    prepare(sim);
+    sim.submit("deadly", 2);
+    submit_others(sim);
+    sim.run_for(50s);
+    check_deadly_ends(sim);
+}
+
+// Guards against a count of crashes that only sees targets with a new id.
+TEST_CASE("a task that crashes its targets is given up when they return under the same id", "[.][known-red]")
+{
+    fleet_simulation sim{42};
+    sim.fleet.restart_after_crash = restart_kind::same_id;
+    prepare(sim);
+    sim.submit("deadly", 2);
+    submit_others(sim);
+    sim.run_for(50s);
+    check_deadly_ends(sim);
+}
+
+// Guards against a count of crashes that only sees targets that are back before their lease has ended.
+TEST_CASE("a task that crashes its targets is given up when they return after their lease", "[.][known-red]")
+{
+    fleet_simulation sim{43};
+    sim.fleet.restart_delay = 6s;
+    sim.fleet.restart_after_crash = GENERATE(restart_kind::new_address, restart_kind::same_address);
+    prepare(sim);
+    sim.submit("deadly", 2);
+    submit_others(sim);
+    sim.run_for(70s);
+    check_deadly_ends(sim);
+}
+
+// Guards against a count of crashes that ends with the leader's term.
+TEST_CASE("a change of leader does not forget the crashes of a task", "[.][known-red]")
+{
+    fleet_simulation sim{44};
+    prepare(sim);
+    sim.submit("deadly", 1);
+    submit_others(sim);
+    int killed = 0;
+    for (int i = 0; i < 700; ++i) {
+        sim.run_for(100ms);
+        entry_host* leader = sim.leader();
+        const int crashes =
+            sim.fleet.deadly_tasks.empty() ? 0 : sim.fleet.deadly_tasks.begin()->second.crashes;
+        if (leader == nullptr || crashes <= killed || killed == 4)
+            continue;
+        ++killed;
+        leader->kill();
+        leader->start(sim.config, sim.waves);
+    }
+    check_deadly_ends(sim);
+}
+
+// Guards against jobs that are failed because their tasks were beside those that crash their targets.
+TEST_CASE("several tasks that crash their targets do not fail the jobs beside them", "[.][known-red]")
+{
+    fleet_simulation sim{45};
+    prepare(sim);
+    for (int i = 0; i < 3; ++i)
+        sim.submit("deadly" + std::to_string(i), 3);
+    submit_others(sim);
+    sim.run_for(90s);
+    check_deadly_ends(sim);
+}
+
+// Guards against a job that is failed for crashes and silences of targets that are not its fault.
+TEST_CASE("a job whose targets crash twice and are silent for long is not failed")
+{
+    fleet_simulation sim{46};
+    prepare(sim);
+    sim.fleet.run_time = [](const task_key&) { return duration{5s}; };
+    sim.submit("j", 1);
+    const task_key task{job_id{"j"}, {0, 0, 0}};
+    for (int fault = 0; fault < 5; ++fault) {
+        for (int i = 0; i < 200 && sim.fleet.host_of(task).empty(); ++i)
+            sim.run_for(100ms);
+        const std::string host = sim.fleet.host_of(task);
+        REQUIRE_FALSE(host.empty());
+        sim.run_for(300ms);
+        if (fault % 2 == 0) {
+            sim.fleet.set_cut(host, true);
+            sim.run_for(7s);
+            sim.fleet.set_cut(host, false);
+        } else {
+            sim.fleet.crash_for(host, restart_kind::same_address, 3s);
+            sim.run_for(200ms);
+        }
+    }
+    sim.run_for(20s);
+    CHECK(sim.completed("j"));
+    CHECK(sim.fleet.violations.empty());
+}
+
+TEST_CASE("under random faults a task that crashes its targets is given up and no other job fails",
+          "[.][known-red][random]")
+{
+    play_seeds({.deadly_tasks = true}, 5);
+}
+
+// Plays targets that return under their former address or id, which the runs of tst_job_node.cpp do not.
+TEST_CASE("all accepted jobs complete although targets return under their former address or id", "[random]")
+{
+    play_seeds({}, 10);
+}
