Play cancellations in the simulated fleet

Cause: the simulation of whole entry hosts cancelled no jobs, and its leader handled every answer at once. Change: callers cancel through any entry host and ask again while the outcome is unknown; an entry host can handle answers, or only the changes that its watches have read, late. Reported: a start over 3 s (the platform's cancel_ms) after the acknowledgement by an entry host without a fault for 3 s, also by one that is only late; and a run 3.2 s after it, counted from 3 s after the last fault or lateness of the leader, the last cut of its target, and a start or stop that the target carried out late. Jobs that nobody cancelled must complete, cancelled ones must end.

--- a/src/plugins/jobs/tests/fakes/fake_transaction_store.h
+++ b/src/plugins/jobs/tests/fakes/fake_transaction_store.h
@@ -67,6 +67,9 @@
     std::size_t late_commits = 0; ///< Number of next transactions that take effect late, without an answer.
     duration late_by{std::chrono::seconds{3}}; ///< Delay of the late transactions.
     std::size_t commits = 0;                   ///< Number of calls to `commit`.
+    duration answer_delay{0};                  ///< Time for which the host leaves answers unhandled.
+    duration watch_delay{0};                   ///< The same for the changes that a watch has read.
+    timestamp late_until; ///< When the last answer that is left unhandled so far will be handled.
 
     void get(const std::string& key, get_callback done) override;
     void list(const std::string& prefix, const std::string& after, page_callback done) override;
@@ -79,6 +82,8 @@
 private:
     template <typename Callback, typename Effect>
     void answer(Callback done, Effect effect);
+    /// Calls `handle` once the host gets to it, `delay` after the answer's arrival.
+    void handle_later(duration delay, std::function<void()> handle);
     void poll(const std::string& prefix, store_revision after, timestamp until, const watch_callback& done);
 
     virtual_loop& loop_;
--- a/src/plugins/jobs/tests/fleet_simulation.h
+++ b/src/plugins/jobs/tests/fleet_simulation.h
@@ -24,10 +24,15 @@
     void start(std::shared_ptr<const fleet_config> config,
                const std::map<std::string, maintenance_wave>& waves);
     void kill();
+    /// Leaves all answers, or the changes that a watch has read, unhandled for some time.
+    void set_delays(duration answers, duration watches);
+    /// Whether the host handles answers or changes late.
+    [[nodiscard]] bool is_late() const;
     /// Notes a fault that lasts. Called often enough that no fault passes unseen.
     void note_faults();
     /// Whether the host has had no fault for 3 s, so that bounds on time hold for what it does.
     [[nodiscard]] bool in_touch() const;
+    [[nodiscard]] timestamp last_fault() const { return last_fault_; }
 
     fake_store_link link;
 
@@ -60,6 +65,8 @@
     /// Asks for the states of all accepted jobs, as callers may do at any time.
     void query_states(const job_leader& leader);
     void submit(const std::string& id, std::uint32_t tasks, bool permanent = false);
+    /// Cancels a job through the entry host. Asks again every 0.5 s while the outcome is unknown.
+    void cancel(const std::string& id, entry_host& through);
     /// Returns nullptr if no entry host leads.
     [[nodiscard]] entry_host* leader();
     [[nodiscard]] bool completed(const std::string& id);
@@ -74,6 +81,12 @@
     std::map<std::string, maintenance_wave> waves;
     std::vector<std::unique_ptr<entry_host>> hosts;
     std::set<std::string> accepted;
+    std::set<std::string> cancel_requested; ///< Also those that may not have been stored.
+
+private:
+    void note_leader_faults();
+
+    entry_host* last_leader_ = nullptr;
 };
 
 /// Returns the number in the environment variable, or `fallback` if it is not set.
