Play failing tasks, draining targets and permanent tasks in the simulated fleet

Cause: docs/testing.md named them as not played in the simulation of whole entry hosts. Change: a run may end as failed; a target may report that it drains, leave, and return under a former or new id; jobs with permanent tasks are among the others. Reported: a start after as many failed runs as the queue allows, if their ends were acknowledged in time; a start later than 2 s (the platform's drain-ms) after the report, by an entry host without a fault for 3 s. A job whose task fails each time must become failed, one whose tasks fail twice completed; permanent tasks must all run after the repair, and their jobs must not end, also if they fail again and again.

--- a/src/plugins/jobs/tests/fakes/fake_targets.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_targets.cpp
@@ -24,6 +24,11 @@
 constexpr std::chrono::milliseconds cancel_time{3000};
 constexpr std::chrono::milliseconds longest_stop{200};
 constexpr std::chrono::milliseconds contact_time{3000};
+// The platform's `drain-ms`.
+constexpr std::chrono::milliseconds drain_time{2000};
+constexpr std::chrono::milliseconds time_until_next_target{2000};
+// Largest number of failed runs of a task; the queue of the simulation allows as many.
+constexpr int max_attempts = 3;
 
 } // namespace
 
@@ -54,6 +59,8 @@
         t.info.id = target_id{t.info.host + "-" + std::to_string(last_incarnation_)};
     if (kind == restart_kind::new_address)
         t.info.endpoint = {"10.0.0.1", ++last_port_};
+    t.info.state = target_state::ready;
+    t.draining_since = {};
     t.up = true;
     t.token = 0;
     t.running.clear();
@@ -98,11 +105,33 @@
     });
 }
 
+void fake_fleet::drain(const std::string& host, duration time, restart_kind kind)
+{
+    target* t = find(host);
+    if (!t->up || t->info.state == target_state::draining)
+        return;
+    t->info.state = target_state::draining;
+    t->draining_since = loop_.time().now();
+    loop_.after(time, [this, host, kind, incarnation = t->info.incarnation] {
+        target* leaving = find(host);
+        if (!leaving->up || leaving->info.incarnation != incarnation)
+            return;
+        leaving->up = false;
+        leaving->running.clear();
+        loop_.after(time_until_next_target, [this, host, kind, incarnation] {
+            if (find(host)->info.incarnation == incarnation)
+                restart(host, kind);
+        });
+    });
+}
+
 void fake_fleet::end(target& t, const task_key& task, run_end how)
 {
     const auto it = t.running.find(task);
     if (it == t.running.end())
         return;
+    if (how == run_end::failed)
+        ++failed_runs[task];
     listed_end e;
     e.sequence = ++t.last_end;
     e.task = task;
@@ -124,6 +153,12 @@
     const auto cancellation = cancelled.find(order.task.job);
     if (in_time && cancellation != cancelled.end() && now - cancellation->second > cancel_time)
         violations.push_back("started after its job was cancelled: " + to_string(order.task));
+    if (in_time && t.draining_since != timestamp{} && now - t.draining_since > drain_time)
+        violations.push_back("started on a draining target: " + to_string(order.task));
+    const auto fails = acknowledged_fails.find(order.task);
+    if (fails != acknowledged_fails.end() && fails->second >= max_attempts &&
+        !limitless_attempts.contains(order.task.job))
+        violations.push_back("started after its last attempt: " + to_string(order.task));
     for (const auto& [host, other] : hosts_) {
         if (other.up && other.running.contains(order.task) && &other != &t)
             violations.push_back("two runs at a time: " + to_string(order.task));
@@ -265,6 +300,8 @@
                 return false;
             if (e.how == run_end::done && e.sequence > t.stale_ends)
                 done_tasks.insert(e.task);
+            if (e.how == run_end::failed && e.sequence > t.stale_ends)
+                ++acknowledged_fails[e.task];
             return true;
         });
         target_report report;
@@ -327,7 +364,7 @@
             if (now >= t.lease_until)
                 end(t, task, run_end::lease_expired);
             else if (!r.permanent && now >= r.ends)
-                end(t, task, run_end::done);
+                end(t, task, outcome ? outcome(task) : run_end::done);
         }
     }
 }
@@ -367,6 +404,14 @@
     return n;
 }
 
+std::vector<task_key> fake_fleet::running_on(const std::string& host) const
+{
+    std::vector<task_key> out;
+    for (const auto& [task, r] : hosts_.at(host).running)
+        out.push_back(task);
+    return out;
+}
+
 std::string fake_fleet::host_of(const task_key& task) const
 {
     for (const auto& [host, t] : hosts_) {
--- a/src/plugins/jobs/tests/fakes/fake_targets.h
+++ b/src/plugins/jobs/tests/fakes/fake_targets.h
@@ -41,6 +41,7 @@
         bool up = true;
         bool cut = false; ///< Whether orders do not reach the target.
         timestamp last_cut;
+        timestamp draining_since; ///< The epoch if the target is not draining.
         fencing_token token = 0;
         timestamp lease_until;
         std::map<task_key, run> running;
@@ -58,6 +59,8 @@
     double lost_answers = 0.0;
     /// Returns the run time of a task, or std::nullopt if it runs until it is stopped.
     std::function<std::optional<duration>(const task_key&)> run_time;
+    /// Returns how a run of a task ends that is not stopped; null if all are done.
+    std::function<run_end(const task_key&)> outcome;
     /// Returns whether a task crashes each target that starts it; null if none does.
     std::function<bool(const task_key&)> deadly;
     /// How and when a target that a task has crashed comes back.
@@ -71,6 +74,8 @@
     void restart(const std::string& host, restart_kind kind = restart_kind::new_address);
     /// Crashes the host's target, if it is up, and restarts it after `delay`.
     void crash_for(const std::string& host, restart_kind kind, duration delay);
+    /// Reports the host's target as draining. It leaves after `time`, and the next one joins 2 s later.
+    void drain(const std::string& host, duration time, restart_kind kind);
     void set_cut(const std::string& host, bool cut) { find(host)->cut = cut; }
 
     /// `sender_in_touch` tells whether the sender has had no fault for a while, so that bounds hold for it.
@@ -87,6 +92,8 @@
     [[nodiscard]] std::vector<target_info> listed() const;
     [[nodiscard]] std::vector<host_info> hosts() const;
     [[nodiscard]] std::size_t running(const job_id& id) const;
+    /// Returns the tasks that run on the host's target.
+    [[nodiscard]] std::vector<task_key> running_on(const std::string& host) const;
     /// Returns the host on whose target the task runs; empty if it runs nowhere.
     [[nodiscard]] std::string host_of(const task_key& task) const;
 
@@ -99,6 +106,10 @@
     std::map<task_key, deadly_history> deadly_tasks;
     std::vector<std::string> violations;
     std::set<task_key> done_tasks;
+    /// Jobs whose tasks run until the job is cancelled, so that their attempts are not limited.
+    std::set<job_id> limitless_attempts;
+    std::map<task_key, int> failed_runs;        ///< Runs that have ended as failed.
+    std::map<task_key, int> acknowledged_fails; ///< Those of them whose ends were acknowledged in time.
     /// When the cancellation of each job was acknowledged.
     std::map<job_id, timestamp> cancelled;
     /// Latest time at which no leader worked without a fault.
--- a/src/plugins/jobs/tests/fleet_simulation.cpp
+++ b/src/plugins/jobs/tests/fleet_simulation.cpp
@@ -142,6 +142,8 @@
 
 void fleet_simulation::submit(const std::string& id, std::uint32_t tasks, bool permanent)
 {
+    if (permanent)
+        fleet.limitless_attempts.insert(job_id{id});
     job_spec spec;
     step_spec step;
     step.tasks = tasks;
--- a/src/plugins/jobs/tests/tst_job_faults.cpp
+++ b/src/plugins/jobs/tests/tst_job_faults.cpp
@@ -13,6 +13,9 @@
 /// Faults that a random run plays besides those of entry hosts, store and links.
 struct fault_switches {
     bool deadly_tasks = false;
+    bool failing_tasks = false;
+    bool draining_targets = false;
+    bool permanent_tasks = false;
     bool cancellations = false; ///< Also entry hosts that handle answers or changes late.
 };
 
@@ -27,12 +30,8 @@
         sim_.fleet.restart_delay = random_.chance(0.3) ? 6s : 3s;
         if (switches_.deadly_tasks)
             sim_.fleet.deadly = is_deadly;
-        if (switches_.cancellations) {
-            // Some tasks run for longer than a cancellation may take.
-            sim_.fleet.run_time = [this](const task_key&) {
-                return std::chrono::milliseconds{200 + random_.below(random_.chance(0.2) ? 10'000 : 1500)};
-            };
-        }
+        sim_.fleet.run_time = [this](const task_key& key) { return run_time(key); };
+        sim_.fleet.outcome = [this](const task_key& key) { return outcome(key); };
     }
 
     void play()
@@ -56,7 +55,12 @@
     /// Returns the state in which a job that is not cancelled must end.
     static job_state expected_state(const std::string& id)
     {
-        return id.starts_with("deadly") ? job_state::failed : job_state::completed;
+        return id.starts_with("deadly") || id.starts_with("failing") ? job_state::failed
+                                                                     : job_state::completed;
+    }
+    static bool is_permanent(const std::string& id)
+    {
+        return id.starts_with("serving") || id.starts_with("unstable");
     }
     /// The first task of a job with such a name crashes each target that starts it.
     static bool is_deadly(const task_key& key)
@@ -70,11 +74,41 @@
         return std::array{restart_kind::new_address, restart_kind::same_address,
                           restart_kind::same_id}[random_.below(3)];
     }
+    std::optional<duration> run_time(const task_key& key)
+    {
+        if (key.job.str().starts_with("serving"))
+            return std::nullopt;
+        // Some tasks run for longer than a cancellation may take.
+        const bool is_long = switches_.cancellations && random_.chance(0.2);
+        return std::chrono::milliseconds{200 + random_.below(is_long ? 10'000 : 1500)};
+    }
+    run_end outcome(const task_key& key)
+    {
+        const std::string& id = key.job.str();
+        const bool fails = id.starts_with("unstable") ||
+                           (id.starts_with("failing") && key.position.index == 0) ||
+                           (id.starts_with("flaky") && sim_.fleet.failed_runs[key] < 2);
+        return fails ? run_end::failed : run_end::done;
+    }
+    [[nodiscard]] std::string kind_of_job(int round) const
+    {
+        if (switches_.deadly_tasks && round % 8 == 5)
+            return "deadly";
+        if (switches_.failing_tasks && round % 8 == 2)
+            return "failing";
+        if (switches_.failing_tasks && round % 4 == 3)
+            return "flaky";
+        if (switches_.permanent_tasks && round % 16 == 4)
+            return "serving";
+        if (switches_.permanent_tasks && round % 16 == 8)
+            return "unstable";
+        return "j";
+    }
     void submit_job(int round)
     {
-        const bool deadly = switches_.deadly_tasks && round % 8 == 5;
-        sim_.submit((deadly ? "deadly" : "j") + std::to_string(round),
-                    1 + static_cast<std::uint32_t>(random_.below(6)));
+        const std::string kind = kind_of_job(round);
+        const std::uint32_t tasks = 1 + static_cast<std::uint32_t>(random_.below(6));
+        sim_.submit(kind + std::to_string(round), is_permanent(kind) ? 3 : tasks, is_permanent(kind));
     }
     void cancel_jobs()
     {
@@ -114,6 +148,12 @@
         case 6:
             sim_.store.forget_history();
             break;
+        case 7:
+        case 8:
+            if (switches_.draining_targets)
+                sim_.fleet.drain(host, std::chrono::milliseconds{2000 + random_.below(6000)},
+                                 random_restart());
+            break;
         default:
             break;
         }
@@ -159,8 +199,12 @@
             // A job that ends before its cancellation takes effect keeps its state.
             if (sim_.cancel_requested.contains(id) && state != expected_state(id))
                 CHECK(state == job_state::cancelled);
+            else if (is_permanent(id))
+                CHECK_FALSE(is_final(state));
             else
                 CHECK(state == expected_state(id));
+            if (id.starts_with("serving") && !sim_.cancel_requested.contains(id))
+                CHECK(sim_.fleet.running(job_id{id}) == 3);
         }
     }
 
@@ -417,3 +461,87 @@
 {
     play_seeds({.cancellations = true}, 4);
 }
+
+// Guards against starts beyond the attempts of a task, also by a leader that has just taken over.
+TEST_CASE("a task that fails each time is started as often as its queue allows")
+{
+    fleet_simulation sim{61};
+    prepare(sim);
+    sim.fleet.outcome = [](const task_key& key) {
+        return key.job.str() == "failing" && key.position.index == 1 ? run_end::failed : run_end::done;
+    };
+    sim.submit("failing", 3);
+    sim.submit("j", 4);
+    const task_key task{job_id{"failing"}, {0, 0, 1}};
+    for (int i = 0; i < 100 && sim.fleet.failed_runs[task] < 2; ++i)
+        sim.run_for(50ms);
+    entry_host* leader = sim.leader();
+    REQUIRE(leader != nullptr);
+    leader->kill();
+    sim.run_for(15s);
+    CHECK(sim.fleet.failed_runs[task] == 3);
+    CHECK(sim.stored_state("failing") == job_state::failed);
+    CHECK(sim.completed("j"));
+    CHECK(sim.fleet.violations.empty());
+}
+
+// Guards against failures of a task that are counted twice, or counted for the job's other tasks.
+TEST_CASE("a job whose tasks all fail twice completes")
+{
+    fleet_simulation sim{62};
+    prepare(sim);
+    sim.fleet.outcome = [&sim](const task_key& key) {
+        return sim.fleet.failed_runs[key] < 2 ? run_end::failed : run_end::done;
+    };
+    sim.fleet.lost_answers = 0.2;
+    sim.submit("j", 6);
+    sim.run_for(40s);
+    CHECK(sim.completed("j"));
+    CHECK(sim.fleet.violations.empty());
+}
+
+// Guards against starts on a target that is about to leave, and against a permanent task that ends with it.
+TEST_CASE("targets that drain get no work and their permanent tasks move before they leave")
+{
+    fleet_simulation sim{63};
+    prepare(sim);
+    sim.fleet.run_time = [](const task_key& key) -> std::optional<duration> {
+        return key.job.str() == "serving" ? std::nullopt : std::optional<duration>{600ms};
+    };
+    sim.submit("serving", 4, true);
+    sim.run_for(2s);
+    REQUIRE(sim.fleet.running(job_id{"serving"}) == 4);
+    for (int i = 0; i < 6; ++i) {
+        const std::string host = "h" + std::to_string(i);
+        sim.fleet.drain(host, 4s, restart_kind::same_id);
+        sim.submit("j" + std::to_string(i), 6);
+        sim.run_for(3900ms);
+        CHECK(sim.fleet.running_on(host).empty());
+        CHECK(sim.fleet.running(job_id{"serving"}) == 4);
+        sim.run_for(2500ms);
+    }
+    sim.run_for(5s);
+    for (const std::string& id : sim.accepted)
+        CHECK((id == "serving" || sim.completed(id)));
+    CHECK(sim.fleet.violations.empty());
+}
+
+// Guards against a limit of attempts for tasks that run until their job is cancelled.
+TEST_CASE("a permanent task that fails again and again is started again")
+{
+    fleet_simulation sim{64};
+    prepare(sim);
+    sim.fleet.outcome = [](const task_key&) { return run_end::failed; };
+    sim.submit("unstable", 1, true);
+    sim.run_for(40s);
+    CHECK(sim.fleet.failed_runs[{job_id{"unstable"}, {0, 0, 0}}] >= 8);
+    sim.cancel("unstable", *sim.hosts[0]);
+    sim.run_for(5s);
+    CHECK(sim.stored_state("unstable") == job_state::cancelled);
+    CHECK(sim.fleet.running(job_id{"unstable"}) == 0);
+}
+
+TEST_CASE("under random faults failing tasks end their job in time and permanent tasks are kept", "[random]")
+{
+    play_seeds({.failing_tasks = true, .draining_targets = true, .permanent_tasks = true}, 4);
+}
