--- a/src/plugins/jobs/tests/fakes/fake_targets.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_targets.cpp
@@ -3,6 +3,9 @@
 #include "fake_transaction_store.h"
 #include "jobs/job_keys.h"
 
+#include <algorithm>
+#include <type_traits>
+
 namespace mjm {
 
 namespace {
@@ -13,6 +16,19 @@
 constexpr std::chrono::milliseconds move_time{1500};
 // The platform's lease time, within which two leaders must not order the same host.
 constexpr std::chrono::milliseconds order_lease{3000};
+constexpr std::chrono::milliseconds time_until_crash{10};
+// A task must not be started three times more after three targets have crashed under it.
+constexpr int crashes_limit = 3;
+constexpr int later_starts_limit = 3;
+// The platform's `cancel_ms`, `stop-ms` and `contact-ms`.
+constexpr std::chrono::milliseconds cancel_time{3000};
+constexpr std::chrono::milliseconds longest_stop{200};
+constexpr std::chrono::milliseconds contact_time{3000};
+// The platform's `drain-ms`.
+constexpr std::chrono::milliseconds drain_time{2000};
+constexpr std::chrono::milliseconds time_until_next_target{2000};
+// Largest number of failed runs of a task; the queue of the simulation allows as many.
+constexpr int max_attempts = 3;
 
 } // namespace
 
@@ -27,19 +43,24 @@
     return it == hosts_.end() ? nullptr : &it->second;
 }
 
-fake_fleet::target* fake_fleet::find(const target_ref& to)
+fake_fleet::target* fake_fleet::answering(const http_endpoint& at)
 {
     for (auto& [host, t] : hosts_) {
-        if (t.info.id == to.id && t.up && !t.cut)
+        if (t.info.endpoint == at && t.up && !t.cut)
             return &t;
     }
     return nullptr;
 }
 
-void fake_fleet::start_incarnation(target& t)
+void fake_fleet::start_incarnation(target& t, restart_kind kind)
 {
     t.info.incarnation = ++last_incarnation_;
-    t.info.id = target_id{t.info.host + "-" + std::to_string(last_incarnation_)};
+    if (kind != restart_kind::same_id)
+        t.info.id = target_id{t.info.host + "-" + std::to_string(last_incarnation_)};
+    if (kind == restart_kind::new_address)
+        t.info.endpoint = {"10.0.0.1", ++last_port_};
+    t.info.state = target_state::ready;
+    t.draining_since = {};
     t.up = true;
     t.token = 0;
     t.running.clear();
@@ -54,20 +75,54 @@
     target& t = hosts_[host];
     t.info.host = host;
     t.info.service = service;
-    t.info.endpoint = {"10.0.0.1", 80};
     t.info.capacity = {8'000, 32'768, 0, 0};
-    start_incarnation(t);
+    start_incarnation(t, restart_kind::new_address);
 }
 
 void fake_fleet::crash(const std::string& host)
 {
-    find(host)->up = false;
-    find(host)->running.clear();
+    target* t = find(host);
+    if (t->up && entry_lifetime > duration{0})
+        stale_entries_.push_back({t->info, loop_.time().now() + entry_lifetime});
+    t->up = false;
+    t->running.clear();
 }
 
-void fake_fleet::restart(const std::string& host)
+void fake_fleet::restart(const std::string& host, restart_kind kind)
 {
-    start_incarnation(*find(host));
+    start_incarnation(*find(host), kind);
+}
+
+void fake_fleet::crash_for(const std::string& host, restart_kind kind, duration delay)
+{
+    target* t = find(host);
+    if (!t->up)
+        return;
+    crash(host);
+    loop_.after(delay, [this, host, kind, incarnation = t->info.incarnation] {
+        if (find(host)->info.incarnation == incarnation)
+            restart(host, kind);
+    });
+}
+
+void fake_fleet::drain(const std::string& host, duration time, restart_kind kind)
+{
+    target* t = find(host);
+    if (!t->up || t->info.state == target_state::draining)
+        return;
+    t->info.state = target_state::draining;
+    t->draining_since = loop_.time().now();
+    loop_.after(time, [this, host, kind, incarnation = t->info.incarnation] {
+        target* leaving = find(host);
+        if (!leaving->up || leaving->info.incarnation != incarnation)
+            return;
+        leaving->up = false;
+        leaving->running.clear();
+        loop_.after(time_until_next_target, [this, host, kind, incarnation] {
+            if (find(host)->info.incarnation == incarnation)
+                restart(host, kind);
+        });
+    });
 }
 
 void fake_fleet::end(target& t, const task_key& task, run_end how)
@@ -75,6 +130,8 @@
     const auto it = t.running.find(task);
     if (it == t.running.end())
         return;
+    if (how == run_end::failed)
+        ++failed_runs[task];
     listed_end e;
     e.sequence = ++t.last_end;
     e.task = task;
@@ -85,13 +142,23 @@
     t.running.erase(it);
 }
 
-void fake_fleet::begin(target& t, const start_order& order)
+void fake_fleet::begin(target& t, const start_order& order, bool in_time)
 {
     ++starts;
     if (done_tasks.contains(order.task))
         violations.push_back("started after its end: " + to_string(order.task));
     if (shown_completed.contains(order.task.job))
         violations.push_back("started after its job was shown as completed: " + to_string(order.task));
+    const timestamp now = loop_.time().now();
+    const auto cancellation = cancelled.find(order.task.job);
+    if (in_time && cancellation != cancelled.end() && now - cancellation->second > cancel_time)
+        violations.push_back("started after its job was cancelled: " + to_string(order.task));
+    if (in_time && t.draining_since != timestamp{} && now - t.draining_since > drain_time)
+        violations.push_back("started on a draining target: " + to_string(order.task));
+    const auto fails = acknowledged_fails.find(order.task);
+    if (fails != acknowledged_fails.end() && fails->second >= max_attempts &&
+        !limitless_attempts.contains(order.task.job))
+        violations.push_back("started after its last attempt: " + to_string(order.task));
     for (const auto& [host, other] : hosts_) {
         if (other.up && other.running.contains(order.task) && &other != &t)
             violations.push_back("two runs at a time: " + to_string(order.task));
@@ -100,104 +167,148 @@
     r.number = order.run;
     const std::optional<duration> length = run_time(order.task);
     r.permanent = !length;
-    r.ends = loop_.time().now() + length.value_or(duration{0});
+    r.ends = now + length.value_or(duration{0});
+    // The leader learns of a start that was carried out late from a report.
+    r.cancellable_from = in_time ? now : now + contact_time;
     t.running[order.task] = r;
+    if (deadly && deadly(order.task))
+        begin_deadly(t, order.task, in_time);
+}
+
+void fake_fleet::check_cancelled_runs(target& t)
+{
+    const timestamp now = loop_.time().now();
+    if (t.cut)
+        t.last_cut = now;
+    for (auto& [task, r] : t.running) {
+        const auto cancellation = cancelled.find(task.job);
+        if (cancellation == cancelled.end() || r.cancelled_too_late)
+            continue;
+        const timestamp from = std::max({cancellation->second, r.cancellable_from,
+                                         last_leader_fault + contact_time, t.last_cut + contact_time});
+        if (now - from <= cancel_time + longest_stop)
+            continue;
+        r.cancelled_too_late = true;
+        violations.push_back("runs on after its job was cancelled: " + to_string(task));
+    }
+}
+
+void fake_fleet::begin_deadly(const target& t, const task_key& task, bool in_time)
+{
+    deadly_history& history = deadly_tasks[task];
+    ++history.starts;
+    if (history.crashes >= crashes_limit && in_time && ++history.starts_after_limit == later_starts_limit)
+        violations.push_back("started three times after three crashes: " + to_string(task));
+    loop_.after(time_until_crash, [this, host = t.info.host, task, incarnation = t.info.incarnation] {
+        const target* crashing = find(host);
+        if (!crashing->up || crashing->info.incarnation != incarnation || !crashing->running.contains(task))
+            return;
+        ++deadly_tasks[task].crashes;
+        crash_for(host, restart_after_crash, restart_delay);
+    });
 }
 
 template <typename Callback, typename Effect>
-void fake_fleet::deliver(Callback done, Effect effect)
+void fake_fleet::deliver(const target_ref& to, Callback done, Effect effect,
+                         const std::function<void(target&)>& on_late)
 {
+    target* receiver = answering(to.endpoint);
+    if (receiver == nullptr) {
+        loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
+        return;
+    }
+    using result = std::invoke_result_t<Effect, target&, bool>;
+    // An order on its way ends with the process that would have received it.
+    const auto arrive = [this, to, effect, incarnation = receiver->info.incarnation](bool late) -> result {
+        target* t = answering(to.endpoint);
+        if (t == nullptr || t->info.incarnation != incarnation)
+            return tl::unexpected{order_errc::no_answer};
+        if (t->info.id != to.id)
+            return tl::unexpected{order_errc::other_instance};
+        return effect(*t, late);
+    };
     const bool late = random_.chance(late_orders);
     const bool lost = random_.chance(lost_answers);
     if (late || lost) {
+        if (late && on_late)
+            on_late(*receiver);
         const duration delay =
             late ? duration{std::chrono::milliseconds{2000 + random_.below(10'000)}} : duration{latency};
-        loop_.after(delay, [effect] { static_cast<void>(effect()); });
+        loop_.after(delay, [arrive, late] { static_cast<void>(arrive(late)); });
         loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
         return;
     }
-    loop_.after(latency, [done, effect] { done(effect()); });
+    loop_.after(latency, [done, arrive] { done(arrive(false)); });
 }
 
-void fake_fleet::start(const target_ref& to, const start_order& order,
+void fake_fleet::start(const target_ref& to, const start_order& order, bool sender_in_touch,
                        const target_orders::order_callback& done)
 {
-    if (find(to) == nullptr) {
-        loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
-        return;
-    }
-    deliver(done, [this, to, order]() -> tl::expected<order_answer, order_errc> {
-        target* t = find(to);
-        if (t == nullptr)
-            return tl::unexpected{order_errc::no_answer};
-        if (order.token < t->token)
-            return tl::unexpected{order_errc::fenced};
-        t->token = order.token;
-        if (order.deadline_ms <= clock_ms())
-            return tl::unexpected{order_errc::too_late};
-        t->lease_until = std::max(
-            t->lease_until, loop_.time().now() + std::chrono::milliseconds{order.deadline_ms - clock_ms()});
-        const auto closed = t->closed.find(order.task);
-        if (closed != t->closed.end() && order.run <= closed->second)
-            return tl::unexpected{order_errc::superseded};
-        if (!t->running.contains(order.task))
-            begin(*t, order);
-        return order_answer{clock_ms()};
-    });
+    deliver(to, done,
+            [this, order, sender_in_touch](target& t, bool late) -> tl::expected<order_answer, order_errc> {
+                if (order.token < t.token)
+                    return tl::unexpected{order_errc::fenced};
+                t.token = order.token;
+                if (order.deadline_ms <= clock_ms())
+                    return tl::unexpected{order_errc::too_late};
+                t.lease_until =
+                    std::max(t.lease_until,
+                             loop_.time().now() + std::chrono::milliseconds{order.deadline_ms - clock_ms()});
+                const auto closed = t.closed.find(order.task);
+                if (closed != t.closed.end() && order.run <= closed->second)
+                    return tl::unexpected{order_errc::superseded};
+                if (!t.running.contains(order.task))
+                    begin(t, order, sender_in_touch && !late);
+                return order_answer{clock_ms()};
+            });
 }
 
 void fake_fleet::stop(const target_ref& to, const task_key& task, run_number number, fencing_token token,
                       const target_orders::order_callback& done)
 {
-    if (find(to) == nullptr) {
-        loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
-        return;
-    }
-    deliver(done, [this, to, task, number, token]() -> tl::expected<order_answer, order_errc> {
-        target* t = find(to);
-        if (t == nullptr)
-            return tl::unexpected{order_errc::no_answer};
-        if (token < t->token)
-            return tl::unexpected{order_errc::fenced};
-        t->token = token;
-        const auto it = t->running.find(task);
-        if (it != t->running.end() && it->second.number <= number)
-            end(*t, task, run_end::stopped);
-        t->closed[task] = std::max(t->closed[task], number);
-        return order_answer{clock_ms()};
-    });
+    deliver(
+        to, done,
+        [this, task, number, token](target& t, bool /*late*/) -> tl::expected<order_answer, order_errc> {
+            if (token < t.token)
+                return tl::unexpected{order_errc::fenced};
+            t.token = token;
+            const auto it = t.running.find(task);
+            if (it != t.running.end() && it->second.number <= number)
+                end(t, task, run_end::stopped);
+            t.closed[task] = std::max(t.closed[task], number);
+            return order_answer{clock_ms()};
+        },
+        [this, task](target& t) {
+            if (t.running.contains(task))
+                t.running[task].cancellable_from = loop_.time().now();
+        });
 }
 
 void fake_fleet::observe(const target_ref& to, const lease_request& request,
                          const target_orders::report_callback& done)
 {
-    if (find(to) == nullptr) {
-        loop_.after(call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
-        return;
-    }
-    deliver(done, [this, to, request]() -> tl::expected<target_report, order_errc> {
-        target* t = find(to);
-        if (t == nullptr)
-            return tl::unexpected{order_errc::no_answer};
-        if (request.token < t->token)
+    deliver(to, done, [this, request](target& t, bool /*late*/) -> tl::expected<target_report, order_errc> {
+        if (request.token < t.token)
             return tl::unexpected{order_errc::fenced};
-        t->token = request.token;
+        t.token = request.token;
         if (request.deadline_ms > clock_ms())
-            t->lease_until =
-                std::max(t->lease_until,
+            t.lease_until =
+                std::max(t.lease_until,
                          loop_.time().now() + std::chrono::milliseconds{request.deadline_ms - clock_ms()});
-        std::erase_if(t->ended, [&](const listed_end& e) {
+        std::erase_if(t.ended, [&](const listed_end& e) {
             if (e.sequence > request.ends_acknowledged)
                 return false;
-            if (e.how == run_end::done && e.sequence > t->stale_ends)
+            if (e.how == run_end::done && e.sequence > t.stale_ends)
                 done_tasks.insert(e.task);
+            if (e.how == run_end::failed && e.sequence > t.stale_ends)
+                ++acknowledged_fails[e.task];
             return true;
         });
         target_report report;
         report.clock_ms = clock_ms();
-        report.incarnation = t->info.incarnation;
-        report.ended = t->ended;
-        for (const auto& [task, r] : t->running) {
+        report.incarnation = t.info.incarnation;
+        report.ended = t.ended;
+        for (const auto& [task, r] : t.running) {
             listed_run row;
             row.task = task;
             row.run = r.number;
@@ -247,12 +358,13 @@
     for (auto& [host, t] : hosts_) {
         if (now >= t.lease_until)
             t.stale_ends = t.last_end;
+        check_cancelled_runs(t);
         const std::map<task_key, run> present = t.running;
         for (const auto& [task, r] : present) {
             if (now >= t.lease_until)
                 end(t, task, run_end::lease_expired);
             else if (!r.permanent && now >= r.ends)
-                end(t, task, run_end::done);
+                end(t, task, outcome ? outcome(task) : run_end::done);
         }
     }
 }
@@ -264,6 +376,12 @@
         if (t.up)
             out.push_back(t.info);
     }
+    for (const stale_entry& entry : stale_entries_) {
+        const bool replaced = std::any_of(out.begin(), out.end(),
+                                          [&entry](const target_info& t) { return t.id == entry.info.id; });
+        if (loop_.time().now() < entry.until && !replaced)
+            out.push_back(entry.info);
+    }
     return out;
 }
 
@@ -286,6 +404,23 @@
     return n;
 }
 
+std::vector<task_key> fake_fleet::running_on(const std::string& host) const
+{
+    std::vector<task_key> out;
+    for (const auto& [task, r] : hosts_.at(host).running)
+        out.push_back(task);
+    return out;
+}
+
+std::string fake_fleet::host_of(const task_key& task) const
+{
+    for (const auto& [host, t] : hosts_) {
+        if (t.running.contains(task))
+            return host;
+    }
+    return {};
+}
+
 void fake_host_operations::report_wave(const maintenance_wave& wave, bool completed,
                                        const std::string& record, fencing_token /*token*/, done_callback done)
 {
--- a/src/plugins/jobs/tests/fakes/fake_targets.h
+++ b/src/plugins/jobs/tests/fakes/fake_targets.h
@@ -15,6 +15,13 @@
 
 namespace mjm {
 
+/// What a host's next target has in common with the one before.
+enum class restart_kind {
+    new_address,  ///< Nothing: calls for the former target are not answered.
+    same_address, ///< The address: calls for the former target get `order_errc::other_instance`.
+    same_id,      ///< The address and the id, so that only the incarnation differs.
+};
+
 /// Simulates hosts with targets that run tasks under leases and fencing tokens, with faults. Checks
 /// invariants on every start and host order, and records breaches in `violations`.
 class fake_fleet {
@@ -25,11 +32,16 @@
         run_number number = 0;
         timestamp ends;
         bool permanent = false;
+        /// When the time within which a cancellation must take effect begins at the earliest.
+        timestamp cancellable_from;
+        bool cancelled_too_late = false; ///< Whether a violation has been recorded for it.
     };
     struct target {
         target_info info;
         bool up = true;
         bool cut = false; ///< Whether orders do not reach the target.
+        timestamp last_cut;
+        timestamp draining_since; ///< The epoch if the target is not draining.
         fencing_token token = 0;
         timestamp lease_until;
         std::map<task_key, run> running;
@@ -47,13 +59,28 @@
     double lost_answers = 0.0;
     /// Returns the run time of a task, or std::nullopt if it runs until it is stopped.
     std::function<std::optional<duration>(const task_key&)> run_time;
+    /// Returns how a run of a task ends that is not stopped; null if all are done.
+    std::function<run_end(const task_key&)> outcome;
+    /// Returns whether a task crashes each target that starts it; null if none does.
+    std::function<bool(const task_key&)> deadly;
+    /// How and when a target that a task has crashed comes back.
+    restart_kind restart_after_crash = restart_kind::same_address;
+    duration restart_delay{std::chrono::seconds{3}};
+    /// Time for which a crashed target's entry remains in service discovery.
+    duration entry_lifetime{0};
 
     void add_host(const std::string& host, const service_id& service);
     void crash(const std::string& host);
-    void restart(const std::string& host);
+    void restart(const std::string& host, restart_kind kind = restart_kind::new_address);
+    /// Crashes the host's target, if it is up, and restarts it after `delay`.
+    void crash_for(const std::string& host, restart_kind kind, duration delay);
+    /// Reports the host's target as draining. It leaves after `time`, and the next one joins 2 s later.
+    void drain(const std::string& host, duration time, restart_kind kind);
     void set_cut(const std::string& host, bool cut) { find(host)->cut = cut; }
 
-    void start(const target_ref& to, const start_order& order, const target_orders::order_callback& done);
+    /// `sender_in_touch` tells whether the sender has had no fault for a while, so that bounds hold for it.
+    void start(const target_ref& to, const start_order& order, bool sender_in_touch,
+               const target_orders::order_callback& done);
     void stop(const target_ref& to, const task_key& task, run_number number, fencing_token token,
               const target_orders::order_callback& done);
     void observe(const target_ref& to, const lease_request& request,
@@ -65,9 +92,28 @@
     [[nodiscard]] std::vector<target_info> listed() const;
     [[nodiscard]] std::vector<host_info> hosts() const;
     [[nodiscard]] std::size_t running(const job_id& id) const;
+    /// Returns the tasks that run on the host's target.
+    [[nodiscard]] std::vector<task_key> running_on(const std::string& host) const;
+    /// Returns the host on whose target the task runs; empty if it runs nowhere.
+    [[nodiscard]] std::string host_of(const task_key& task) const;
 
+    /// Crashes of targets by a deadly task, and starts of it that followed.
+    struct deadly_history {
+        int crashes = 0;
+        int starts = 0;
+        int starts_after_limit = 0; ///< Starts in time by senders in touch, after the third crash.
+    };
+    std::map<task_key, deadly_history> deadly_tasks;
     std::vector<std::string> violations;
     std::set<task_key> done_tasks;
+    /// Jobs whose tasks run until the job is cancelled, so that their attempts are not limited.
+    std::set<job_id> limitless_attempts;
+    std::map<task_key, int> failed_runs;        ///< Runs that have ended as failed.
+    std::map<task_key, int> acknowledged_fails; ///< Those of them whose ends were acknowledged in time.
+    /// When the cancellation of each job was acknowledged.
+    std::map<job_id, timestamp> cancelled;
+    /// Latest time at which no leader worked without a fault.
+    timestamp last_leader_fault;
     /// Jobs that were shown to callers as completed. None of their tasks may start.
     std::set<job_id> shown_completed;
     std::map<std::string, int> maintained;
@@ -82,38 +128,56 @@
     /// Records a violation if another leader gave an order for the host within the platform's lease time.
     void check_host_order(const std::string& host, fencing_token token);
     target* find(const std::string& host);
-    target* find(const target_ref& to);
+    /// Returns the target that answers at the address, or nullptr if none does.
+    target* answering(const http_endpoint& at);
     [[nodiscard]] std::int64_t clock_ms() const;
     void end(target& t, const task_key& task, run_end how);
-    void begin(target& t, const start_order& order);
-    void start_incarnation(target& t);
+    /// `in_time` tells whether bounds on the time of a start hold for this one.
+    void begin(target& t, const start_order& order, bool in_time);
+    /// Records violations for runs of jobs that were cancelled long ago.
+    void check_cancelled_runs(target& t);
+    void begin_deadly(const target& t, const task_key& task, bool in_time);
+    void start_incarnation(target& t, restart_kind kind);
+    /// Calls `effect(target, late)` when the order arrives, and `done` with its result. Calls `on_late` at
+    /// once if the order will be carried out late.
     template <typename Callback, typename Effect>
-    void deliver(Callback done, Effect effect);
+    void deliver(const target_ref& to, Callback done, Effect effect,
+                 const std::function<void(target&)>& on_late = {});
 
     virtual_loop& loop_;
     random_source& random_;
     std::map<std::string, target> hosts_;
     std::map<std::string, given_order> host_orders_;
+    struct stale_entry {
+        target_info info;
+        timestamp until;
+    };
+    std::vector<stale_entry> stale_entries_; ///< Of targets that have crashed.
     target_incarnation last_incarnation_ = 0;
+    std::uint16_t last_port_ = 0;
 };
 
 /// Sends the orders of one entry host to the fake fleet.
 class fake_fleet_orders final : public target_orders {
 public:
-    explicit fake_fleet_orders(fake_fleet& fleet) : fleet_{fleet} {}
+    fake_fleet_orders(virtual_loop& loop, fake_fleet& fleet) : loop_{loop}, fleet_{fleet} {}
+
+    /// Returns whether the entry host has had no fault for a while; null if it never has one.
+    std::function<bool()> in_touch;
+    duration answer_delay{0}; ///< Time for which the entry host leaves answers unhandled.
 
     void start(const target_ref& target, const start_order& order, order_callback done) override
     {
-        fleet_.start(target, order, done);
+        fleet_.start(target, order, !in_touch || in_touch(), handled_later(std::move(done)));
     }
     void stop(const target_ref& target, const task_key& task, run_number run, fencing_token token,
               order_callback done) override
     {
-        fleet_.stop(target, task, run, token, done);
+        fleet_.stop(target, task, run, token, handled_later(std::move(done)));
     }
     void observe(const target_ref& target, const lease_request& request, report_callback done) override
     {
-        fleet_.observe(target, request, done);
+        fleet_.observe(target, request, handled_later(std::move(done)));
     }
     void pace(const target_ref& /*target*/, const task_key& /*task*/, run_number /*run*/, int /*percent*/,
               fencing_token /*token*/, order_callback done) override
@@ -122,6 +186,18 @@
     }
 
 private:
+    template <typename Result>
+    std::function<void(Result)> handled_later(std::function<void(Result)> done)
+    {
+        return [this, done](const Result& result) {
+            if (answer_delay > duration{0})
+                loop_.after(answer_delay, [done, result] { done(result); });
+            else
+                done(result);
+        };
+    }
+
+    virtual_loop& loop_;
     fake_fleet& fleet_;
 };
 
@@ -130,19 +206,35 @@
     fake_directory(virtual_loop& loop, fake_fleet& fleet) : loop_{loop}, fleet_{fleet} {}
 
     bool frozen = false; ///< Whether changes of targets are not reported.
+    duration delay{0};   ///< Time for which the entry host leaves reports unhandled.
 
-    void open(handler h) override { handler_ = std::move(h); }
+    void open(handler h) override
+    {
+        handler_ = std::move(h);
+        view_time_ = {};
+    }
     void close() override { handler_ = {}; }
     void tick() override
     {
         if (!handler_.on_snapshot || frozen)
             return;
-        view_time_ = loop_.time().now();
-        handler_.on_snapshot(fleet_.listed());
+        if (delay == duration{0})
+            report(loop_.time().now(), fleet_.listed());
+        else
+            loop_.after(delay,
+                        [this, at = loop_.time().now(), targets = fleet_.listed()] { report(at, targets); });
     }
     [[nodiscard]] timestamp view_time() const override { return view_time_; }
 
 private:
+    void report(timestamp at, const std::vector<target_info>& targets)
+    {
+        if (!handler_.on_snapshot || at < view_time_)
+            return;
+        view_time_ = at;
+        handler_.on_snapshot(targets);
+    }
+
     virtual_loop& loop_;
     fake_fleet& fleet_;
     handler handler_;
--- /dev/null
+++ b/src/plugins/jobs/tests/fleet_simulation.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "core/random_source.h"
+#include "fake_targets.h"
+#include "fake_transaction_store.h"
+#include "jobs/job_node.h"
+#include "no_leader.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mjm {
+
+/// An entry host whose process can be killed and restarted, and whose connection to the store can be cut.
+class entry_host {
+public:
+    entry_host(virtual_loop& loop, fake_transaction_store& store, fake_fleet& fleet, const std::string& name,
+               std::uint64_t seed);
+
+    void start(std::shared_ptr<const fleet_config> config,
+               const std::map<std::string, maintenance_wave>& waves);
+    void kill();
+    /// Leaves all answers, or the changes that a watch has read, unhandled for some time.
+    void set_delays(duration answers, duration watches);
+    /// Whether the host handles answers or changes late.
+    [[nodiscard]] bool is_late() const;
+    /// Notes a fault that lasts. Called often enough that no fault passes unseen.
+    void note_faults();
+    /// Whether the host has had no fault for 3 s, so that bounds on time hold for what it does.
+    [[nodiscard]] bool in_touch() const;
+    [[nodiscard]] timestamp last_fault() const { return last_fault_; }
+
+    fake_store_link link;
+
+    [[nodiscard]] fake_host_operations& operations() { return operations_; }
+    [[nodiscard]] fake_directory& directory() { return directory_; }
+
+private:
+    virtual_loop& loop_;
+    fake_fleet_orders orders_;
+    fake_directory directory_;
+    fake_host_operations operations_;
+    no_leader leader_;
+    seeded_random random_;
+    log_sink sink_{log_settings{}, loop_.time(), [](const std::string&) {}};
+    metric_registry metrics_;
+    std::string name_;
+    timestamp last_fault_;
+
+public:
+    /// Declared last, so that it is destroyed before the fakes that it calls.
+    std::unique_ptr<job_node> node;
+};
+
+/// Three entry hosts, six hosts with targets and a store, in one thread and virtual time.
+class fleet_simulation {
+public:
+    explicit fleet_simulation(std::uint64_t seed, int standby_hosts = 0);
+
+    void run_for(duration d);
+    /// Asks for the states of all accepted jobs, as callers may do at any time.
+    void query_states(const job_leader& leader);
+    void submit(const std::string& id, std::uint32_t tasks, bool permanent = false);
+    /// Cancels a job through the entry host. Asks again every 0.5 s while the outcome is unknown.
+    void cancel(const std::string& id, entry_host& through);
+    /// Returns nullptr if no entry host leads.
+    [[nodiscard]] entry_host* leader();
+    [[nodiscard]] bool completed(const std::string& id);
+    /// Returns the job's state in the store; `pending` if the store has no progress of it.
+    [[nodiscard]] job_state stored_state(const std::string& id);
+
+    virtual_loop loop;
+    seeded_random random;
+    fake_transaction_store store{loop};
+    fake_fleet fleet;
+    std::shared_ptr<const fleet_config> config;
+    std::map<std::string, maintenance_wave> waves;
+    std::vector<std::unique_ptr<entry_host>> hosts;
+    std::set<std::string> accepted;
+    std::set<std::string> cancel_requested; ///< Also those that may not have been stored.
+
+private:
+    void note_leader_faults();
+
+    entry_host* last_leader_ = nullptr;
+};
+
+/// Returns the number in the environment variable, or `fallback` if it is not set.
+[[nodiscard]] std::uint64_t environment_number(const char* name, std::uint64_t fallback);
+
+} // namespace mjm
