Attribute a crash only without another suspect, and settle silent targets by their incarnation

Cause: a crash was attributed to the suspect with the most earlier crashes although another one, or a longer silence, may have been the cause. A target that had left service discovery and came back under its id was taken for one that had only been silent, so that its crash was never counted. Runs that a new leader restored after it had heard of their target's new life were discarded as never received. Tasks were started again while it was not known what had become of their last targets. Silent targets are settled by their incarnation, also if they are added again. Restored runs are compared with the lives of their targets.

--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -75,6 +75,7 @@
     insert_job(std::move(j));
     log_event(scheduler_event::job_added, id, nullptr, 0, {}, "restored as " + state,
               time.unix_ms - jobs_.at(id).state->record().accepted_ms);
+    lose_restored_runs(id, time);
     return readable;
 }
 
@@ -175,7 +176,7 @@
     }
     if (added) {
         t.info = info;
-        resolve_lost_targets_of_host(info, time);
+        resolve_predecessors(info, time);
     } else {
         if (info.incarnation > t.info.incarnation) {
             on_target_restart(t, info.incarnation, time);
@@ -418,8 +419,7 @@
         if (!t.runs.empty() && !t.reachable && time.now > t.lease_until) {
             log_event(scheduler_event::target_lost, {}, nullptr, 0, id, "lease expired",
                       to_ms(time.now - t.lease_until));
-            note_lost_target(t, time);
-            discard_runs_of_target(t, "target lost", time);
+            lose_silent_target(t, time);
             t.synced = false;
         }
     }
@@ -453,9 +453,10 @@
         // The run was restored from the store, and its target has not been listed since.
         if (!t.run->on_known_target) {
             if (time.now > created_at_ + settings_.longest_lease + settings_.lease_margin * 2) {
-                ++t.crashes.unresolved;
-                on_history_changed(open, {{open.state->id(), p}, t.run->number}, t.run->target);
+                const lost_run lost{{open.state->id(), p}, t.run->number};
+                note_unresolved(open, lost, t.run->target, time);
                 discard_run(open, p, "target unknown", time);
+                give_up_jobs({lost}, time);
             }
             return;
         }
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -355,23 +355,32 @@
 
     // scheduler_crashes.cpp
     /// Discards these runs of a target that has ended. Unless its end was expected, it is a crash.
-    void lose_runs(target_status& t, const std::vector<task_key>& keys, const char* reason,
+    void lose_runs(target_status& t, const std::vector<task_key>& keys, const char* reason, bool attributable,
                    scheduler_time time);
+    /// Handles that runs of a restored job belong to lives of known targets that have ended.
+    void lose_restored_runs(const job_id& id, scheduler_time time);
     /// Handles that restored runs belong to a life of the target that has ended.
     void lose_runs_of_earlier_incarnations(target_status& t, scheduler_time time);
     [[nodiscard]] std::vector<lost_run> runs_on_probation(const std::vector<task_key>& keys);
-    /// Counts a crash for the runs that were on probation, and attributes it to one of them if possible.
+    /// Counts a crash for the runs that were on probation. If it is attributable, it is attributed to the
+    /// only one of them, unless the host has crashed before without a cause.
     void record_crash(const target_id& target, const std::string& host, const std::vector<lost_run>& suspects,
-                      scheduler_time time);
+                      bool attributable, scheduler_time time);
     void on_history_changed(open_job& open, const lost_run& lost, const target_id& target);
     /// Gives up the jobs of those of the tasks under which too many targets have crashed.
     void give_up_jobs(const std::vector<lost_run>& suspects, scheduler_time time);
-    /// Notes the runs on probation of a target that is lost in silence.
-    void note_lost_target(const target_status& t, scheduler_time time);
-    /// Handles that a target that was lost in silence has crashed, or answers again.
-    void resolve_lost_target(const target_id& id, bool crashed, scheduler_time time);
-    /// Handles that a target has a successor on its host, so that it has crashed.
-    void resolve_lost_targets_of_host(const target_info& successor, scheduler_time time);
+    /// Discards the runs of a target whose lease has run out in silence.
+    void lose_silent_target(target_status& t, scheduler_time time);
+    /// Notes the runs on probation of a target that is lost in silence, and returns them.
+    std::vector<lost_run> note_lost_target(const target_status& t, scheduler_time time);
+    /// Notes a run that was lost with a target that may have crashed or may only be silent.
+    void note_unresolved(open_job& open, const lost_run& lost, const target_id& target, scheduler_time time);
+    /// Handles what is known by now of a target that was lost in silence: it answers again if its incarnation
+    /// is the one that was lost, and has crashed otherwise.
+    void resolve_lost_target(const target_id& id, std::optional<target_incarnation> incarnation,
+                             scheduler_time time);
+    /// Handles that lost targets have a successor under their id or on their host, so that they have crashed.
+    void resolve_predecessors(const target_info& successor, scheduler_time time);
     /// Handles that the run has been at work long enough not to be the cause of a later crash.
     void pass_probation(open_job& open, const task_position& p);
     void clear_crash_history(open_job& open, task& t);
--- a/src/plugins/jobs/scheduler_crashes.cpp
+++ b/src/plugins/jobs/scheduler_crashes.cpp
@@ -23,12 +23,12 @@
 } // namespace
 
 void job_scheduler::lose_runs(target_status& t, const std::vector<task_key>& keys, const char* reason,
-                              scheduler_time time)
+                              bool attributable, scheduler_time time)
 {
     std::vector<lost_run> suspects;
     if (expected_to_stay(t) && !keys.empty()) {
         suspects = runs_on_probation(keys);
-        record_crash(t.info.id, t.info.host, suspects, time);
+        record_crash(t.info.id, t.info.host, suspects, attributable, time);
     }
     for (const task_key& key : keys) {
         if (open_job* open = find_open(key.job))
@@ -44,7 +44,19 @@
         if (run.incarnation < t.info.incarnation)
             lost.push_back({open.state->id(), p});
     });
-    lose_runs(t, lost, "target restarted", time);
+    lose_runs(t, lost, "target restarted", false, time);
+}
+
+void job_scheduler::lose_restored_runs(const job_id& id, scheduler_time time)
+{
+    std::map<target_id, std::vector<task_key>> lost;
+    jobs_.at(id).state->for_open_tasks([&](const task_position& p, const task& it) {
+        const target_status* t = it.run ? find_target(it.run->target) : nullptr;
+        if (t != nullptr && it.run->incarnation < t->info.incarnation)
+            lost[t->info.id].push_back({id, p});
+    });
+    for (const auto& [target, keys] : lost)
+        lose_runs(targets_.at(target), keys, "target restarted", false, time);
 }
 
 std::vector<job_scheduler::lost_run> job_scheduler::runs_on_probation(const std::vector<task_key>& keys)
@@ -62,26 +74,23 @@
 }
 
 void job_scheduler::record_crash(const target_id& target, const std::string& host,
-                                 const std::vector<lost_run>& suspects, scheduler_time time)
+                                 const std::vector<lost_run>& suspects, bool attributable,
+                                 scheduler_time time)
 {
-    std::vector<crash_history> histories;
-    histories.reserve(suspects.size());
-    for (const lost_run& it : suspects)
-        histories.push_back(find_open(it.task.job)->state->at(it.task.position).crashes);
     const auto earlier = crashed_hosts_.find(host);
     const bool distrusted = earlier != crashed_hosts_.end() && time.now < earlier->second;
-    const std::optional<std::size_t> cause = distrusted ? std::nullopt : probable_cause(histories);
+    const bool attributed = attributable && suspects.size() == 1 && !distrusted;
     log_event(scheduler_event::target_crashed, {}, nullptr, 0, target,
-              std::to_string(suspects.size()) + (cause ? " suspects, attributed" : " suspects"));
-    if (!cause && !host.empty())
+              std::to_string(suspects.size()) + (attributed ? " suspect, attributed" : " suspects"));
+    if (!attributed && !host.empty())
         crashed_hosts_[host] = time.now + settings_.crashes.host_distrust;
-    for (std::size_t i = 0; i < suspects.size(); ++i) {
-        open_job& open = *find_open(suspects[i].task.job);
-        crash_history& history = open.state->at(suspects[i].task.position).crashes;
+    for (const lost_run& it : suspects) {
+        open_job& open = *find_open(it.task.job);
+        crash_history& history = open.state->at(it.task.position).crashes;
         ++history.crashes;
-        if (cause == i)
+        if (attributed)
             ++history.attributed;
-        on_history_changed(open, suspects[i], target);
+        on_history_changed(open, it, target);
     }
 }
 
@@ -109,29 +118,47 @@
     }
 }
 
-void job_scheduler::note_lost_target(const target_status& t, scheduler_time time)
+void job_scheduler::note_unresolved(open_job& open, const lost_run& lost, const target_id& target,
+                                    scheduler_time time)
+{
+    task& t = open.state->at(lost.task.position);
+    ++t.crashes.unresolved;
+    on_history_changed(open, lost, target);
+    if (needs_isolation(t.crashes))
+        t.not_before = time.now + settings_.crashes.resolution_wait;
+}
+
+void job_scheduler::lose_silent_target(target_status& t, scheduler_time time)
+{
+    const std::vector<lost_run> suspects = note_lost_target(t, time);
+    discard_runs_of_target(t, "target lost", time);
+    give_up_jobs(suspects, time);
+}
+
+std::vector<job_scheduler::lost_run> job_scheduler::note_lost_target(const target_status& t,
+                                                                     scheduler_time time)
 {
     if (!expected_to_stay(t))
-        return;
+        return {};
     lost_target lost{t.info.host, t.info.incarnation, time.now,
                      runs_on_probation({t.runs.begin(), t.runs.end()})};
-    if (lost.runs.empty())
-        return;
-    for (const lost_run& it : lost.runs) {
-        open_job& open = *find_open(it.task.job);
-        ++open.state->at(it.task.position).crashes.unresolved;
-        on_history_changed(open, it, t.info.id);
-    }
-    lost_targets_[t.info.id] = std::move(lost);
+    for (const lost_run& it : lost.runs)
+        note_unresolved(*find_open(it.task.job), it, t.info.id, time);
+    const std::vector<lost_run> runs = lost.runs;
+    if (!runs.empty())
+        lost_targets_[t.info.id] = std::move(lost);
+    return runs;
 }
 
-void job_scheduler::resolve_lost_target(const target_id& id, bool crashed, scheduler_time time)
+void job_scheduler::resolve_lost_target(const target_id& id, std::optional<target_incarnation> incarnation,
+                                        scheduler_time time)
 {
     const auto it = lost_targets_.find(id);
     if (it == lost_targets_.end())
         return;
     const lost_target lost = std::move(it->second);
     lost_targets_.erase(it);
+    const bool crashed = incarnation != lost.incarnation;
     std::vector<lost_run> suspects;
     for (const lost_run& run : lost.runs) {
         open_job* open = find_open(run.task.job);
@@ -141,28 +168,28 @@
         // A run that was at work since then has cleared the task.
         if (t.done || t.passed_probation > run.run)
             continue;
-        if (t.crashes.unresolved > 0)
-            --t.crashes.unresolved;
+        if (t.crashes.unresolved > 0 && --t.crashes.unresolved == 0)
+            t.not_before = std::min(t.not_before, time.now);
         mark_changed(*open->state);
         suspects.push_back(run);
     }
     if (!crashed)
         return;
-    record_crash(id, lost.host, suspects, time);
+    // The target may have been silent for long before it crashed.
+    record_crash(id, lost.host, suspects, false, time);
     give_up_jobs(suspects, time);
 }
 
-void job_scheduler::resolve_lost_targets_of_host(const target_info& successor, scheduler_time time)
+void job_scheduler::resolve_predecessors(const target_info& successor, scheduler_time time)
 {
-    if (successor.host.empty())
-        return;
     std::vector<target_id> ended;
     for (const auto& [id, lost] : lost_targets_) {
-        if (lost.host == successor.host && id != successor.id && lost.incarnation < successor.incarnation)
+        const bool same_host = !successor.host.empty() && lost.host == successor.host;
+        if ((id == successor.id || same_host) && lost.incarnation < successor.incarnation)
             ended.push_back(id);
     }
     for (const target_id& id : ended)
-        resolve_lost_target(id, true, time);
+        resolve_lost_target(id, successor.incarnation, time);
 }
 
 void job_scheduler::pass_probation(open_job& open, const task_position& p)
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -97,8 +97,8 @@
 {
     unlist_target(t.info.id, time);
     t.reachable = false;
-    resolve_lost_target(t.info.id, true, time);
-    lose_runs(t, {t.runs.begin(), t.runs.end()}, "address belongs to another target", time);
+    resolve_lost_target(t.info.id, std::nullopt, time);
+    lose_runs(t, {t.runs.begin(), t.runs.end()}, "address belongs to another target", true, time);
 }
 
 std::vector<target_id> job_scheduler::due_observations(timestamp now) const
@@ -170,7 +170,7 @@
     }
     if (report->incarnation != t->info.incarnation)
         on_target_restart(*t, report->incarnation, time);
-    resolve_lost_target(target, false, time);
+    resolve_lost_target(target, report->incarnation, time);
     set_clock(*t, report->clock_ms, time.now);
     t->synced = true;
     for (const listed_end& end : report->ended) {
@@ -197,13 +197,13 @@
     t.ends_seen = 0;
     t.ends_acknowledged = 0;
     t.unstored.clear();
-    resolve_lost_target(t.info.id, true, time);
+    resolve_lost_target(t.info.id, incarnation, time);
     std::vector<task_key> lost;
     for_runs(t, [&](const open_job& open, const task_position& p, const task_run& run) {
         if (run.incarnation != incarnation)
             lost.push_back({open.state->id(), p});
     });
-    lose_runs(t, lost, "target restarted", time);
+    lose_runs(t, lost, "target restarted", true, time);
 }
 
 void job_scheduler::on_no_report(target_status& t, order_errc ec, scheduler_time time)
