Withdraw starts that a shrunk target has no capacity for

Callers could see tasks on a target that had shrunk since they were planned: a target whose service does not reject what exceeds its capacity starts whatever it is told to (rule LIMIT); one that does refused the start, which then counted as a refusal and kept the target out of use for 0.3 s. Cause: capacity was checked when a run was planned. The start leaves when the store has the run, in store trouble seconds later, and the check before sending looked at the target's state, its incarnation and the age of the views only. Evidence: three new tests failed on: after a target of 32 cores had shrunk to 11, four starts of 4 cores were sent instead of two; a start ordered before its target shrank to 0 was sent; with 2 runs of 4 cores on a target that shrank to 16 cores, all 3 ordered starts were sent instead of two. The fourth test (running tasks go on, no new work, planned at once when the target grows) passed at once and is a guard. Change: starts that wait to be sent are checked against their target's present capacity. Counted are the runs that may be on the target; runs that are planned but not stored, and starts that have not been sent, are not. Of several starts, in the order of their planning, as many are sent as fit; the others are withdrawn and planned again. Why this works: nothing is handled between this check and the call, so a start is sent only if the latest registration that the leader has read has capacity for it and for everything that may run there.

--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -330,6 +330,9 @@
     [[nodiscard]] const char* obstacle_to_start(const task_run& run, timestamp now) const;
     /// Removes starts that must not be sent any more, and discards their runs.
     void withdraw_starts(scheduler_time time);
+    /// Returns, for each target whose runs exceed its capacity, what is left for the starts that wait to be
+    /// sent. Runs of which no start has been sent are not counted.
+    [[nodiscard]] std::map<target_id, resources> capacity_for_starts() const;
     /// Returns why the start must not be sent any more, or null if it may be.
     [[nodiscard]] const char* obstacle_to_sending(const start_command& start, timestamp now) const;
     /// Returns the latest time, on this host's clock, at which a lease granted at `granted_at` ends on its
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -230,14 +230,49 @@
     return obstacle_to_start(*run, now);
 }
 
+std::map<target_id, resources> job_scheduler::capacity_for_starts() const
+{
+    std::map<target_id, resources> out;
+    std::set<task_key> unsent;
+    for (const target_command& command : commands_) {
+        const start_command* start = std::get_if<start_command>(&command);
+        if (start == nullptr)
+            continue;
+        unsent.insert(start->order.task);
+        const auto t = targets_.find(start->target.id);
+        if (t != targets_.end() && !resources{}.fits_in(t->second.free()))
+            out.emplace(t->first, t->second.free());
+    }
+    for (auto& [id, left] : out) {
+        for (const task_key& key : targets_.at(id).runs) {
+            const job& j = *jobs_.at(key.job).state;
+            const std::optional<task_run>& run = j.at(key.position).run;
+            if (run && (run->phase == run_phase::planned || unsent.contains(key)))
+                left += counted_need(j.step(key.position.step));
+        }
+    }
+    return out;
+}
+
 void job_scheduler::withdraw_starts(scheduler_time time)
 {
     std::map<std::pair<task_key, run_number>, const char*> withdrawn;
+    std::map<target_id, resources> left = capacity_for_starts();
     for (const target_command& command : commands_) {
         const start_command* start = std::get_if<start_command>(&command);
         if (start == nullptr)
             continue;
-        if (const char* obstacle = obstacle_to_sending(*start, time.now))
+        const char* obstacle = obstacle_to_sending(*start, time.now);
+        const auto limited = left.find(start->target.id);
+        if (obstacle == nullptr && limited != left.end()) {
+            const task_key& key = start->order.task;
+            const resources need = counted_need(jobs_.at(key.job).state->step(key.position.step));
+            if (need.fits_in(limited->second))
+                limited->second -= need;
+            else
+                obstacle = "target lacks capacity";
+        }
+        if (obstacle != nullptr)
             withdrawn.emplace(std::pair{start->order.task, start->order.run}, obstacle);
     }
     if (withdrawn.empty())
--- /dev/null
+++ b/src/plugins/jobs/tests/tst_target_capacity.cpp
@@ -0,0 +1,105 @@
+#include "scheduler_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace mjm;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Plays a registration in which the target's capacity has changed.
+void set_cores(scheduler_fixture& f, const target_id& target, std::int64_t milli_cpu)
+{
+    target_info info = f.info_of(target.str());
+    info.capacity.milli_cpu = milli_cpu;
+    f.scheduler.set_target(info, f.now());
+}
+
+/// Confirms that the store has the progress of one job, so that its planned runs are ordered.
+void store(scheduler_fixture& f, const job_id& id)
+{
+    std::vector<progress_write> writes = f.scheduler.unstored(1000);
+    std::erase_if(writes, [&id](const progress_write& w) { return w.job != id; });
+    f.scheduler.on_stored(writes, f.now());
+}
+
+} // namespace
+
+// Guards against a start that was planned before its target shrank, and that exceeds the capacity of a target
+// that refuses nothing (rule LIMIT).
+TEST_CASE("starts that no longer fit are withdrawn when their target has shrunk")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 4, 4000);
+    f.scheduler.plan(f.now());
+    set_cores(f, a, 11'000);
+    f.advance(3s);
+    f.scheduler.on_stored(f.scheduler.unstored(1000), f.now());
+    CHECK(f.take_starts().size() == 2);
+    CHECK(f.scheduler.targets().at(a).used.milli_cpu == 8000);
+
+    const target_id b = f.add_target("b");
+    const std::vector<start_command> others = f.plan_and_store();
+    REQUIRE(others.size() == 2);
+    CHECK(others[0].target.id == b);
+    CHECK(others[1].target.id == b);
+}
+
+// Guards against a start that is ordered when its target shrinks.
+TEST_CASE("a start that waits to be sent is withdrawn when its target has no capacity left")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1, 4000);
+    f.scheduler.plan(f.now());
+    f.scheduler.on_stored(f.scheduler.unstored(1000), f.now());
+    set_cores(f, a, 0);
+    CHECK(f.take_starts().empty());
+    CHECK(f.scheduler.targets().at(a).runs.empty());
+    CHECK(f.take_stops().empty());
+}
+
+// Guards against starts that are withdrawn because of runs that the target does not have yet.
+TEST_CASE("runs that the store does not have yet are not counted when starts are checked against a capacity")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    REQUIRE(f.run_job("runs", 2, 4000).size() == 2);
+    const job_id stored = f.add_job("stored", 3, 4000);
+    f.add_job("unstored", 3, 4000);
+    f.scheduler.plan(f.now());
+    REQUIRE(f.scheduler.targets().at(a).used.milli_cpu == 32'000);
+    set_cores(f, a, 16'000);
+    store(f, stored);
+    const std::vector<start_command> starts = f.take_starts();
+    REQUIRE(starts.size() == 2);
+    CHECK(starts[0].order.task.job == stored);
+    CHECK(starts[1].order.task.job == stored);
+    f.scheduler.on_stored(f.scheduler.unstored(1000), f.now());
+    CHECK(f.take_starts().empty());
+}
+
+TEST_CASE(
+    "a target that shrinks below what it runs keeps its tasks, gets no more, and is used again when it grows")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    const std::vector<start_command> starts = f.run_job("runs", 4, 4000);
+    REQUIRE(starts.size() == 4);
+    set_cores(f, a, 4000);
+    f.add_job("waits", 2, 1000);
+    f.add_job("fills", 1, 1000, [](step_spec& s) { s.need = {0, 16, 0, 0}; });
+    CHECK(f.plan_and_store().empty());
+    f.report(a, {running(starts[0]), running(starts[1]), running(starts[2]), running(starts[3])});
+    f.advance(1s);
+    CHECK(f.plan_and_store().empty());
+    CHECK(f.take_stops().empty());
+    CHECK_FALSE(f.scheduler.planning_needed());
+
+    set_cores(f, a, 18'000);
+    CHECK(f.scheduler.planning_needed());
+    CHECK(f.plan_and_store().size() == 3);
+}
