Count runs that a target stops although they belong to no task

Callers could see a target that does not reject what exceeds its capacity run more than it holds (rule LIMIT), after a run that the leader did not expect had been found there. Cause: a run that a target lists and that is not its task's current run (it was started late, or an earlier leader knew it) was told to stop but not counted. A stop takes time, and capacity becomes free only when the end is listed. The leader also did not ask such a target again if nothing else ran there. Evidence: three new tests failed on: a task of 16 cores started beside a listed run of 20 on a target of 32; a target that listed a run of an unknown job was given work, and a start that waited to be sent was sent; no observation was due for a target that was only stopping such a run, and the stop was sent again with each report. Change: such runs are kept with their target until a report no longer lists them. They use what their task declares. If the task is unknown, its need is, and the target gets no new work meanwhile; starts that wait to be sent are withdrawn. The target is observed until then, with a wait of at most `stop_retry`, and the stop is repeated at that interval instead of with each report. When one is gone, the service is planned. Why this works: the list is replaced by each report, reports are requested one at a time, and a target that has not answered this leader gets no work.

--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -355,6 +355,7 @@
     void on_failed_run(target_status& t, open_job& open, const task_position& p, scheduler_time time);
     void reconcile_runs(target_status& t, const target_report& report, timestamp sent_at,
                         scheduler_time time);
+    void stop_unknown_run(const target_status& t, const listed_run& run, unknown_run& unknown, timestamp now);
     /// Whether a run on the target is waiting for the report that follows a confirmed stop.
     [[nodiscard]] bool has_stopped_run(const target_status& t) const;
     void on_missing_run(open_job& open, const task_position& p, timestamp sent_at, scheduler_time time);
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -106,7 +106,8 @@
     for (const auto& [id, t] : targets_) {
         if (t.observing || now < t.next_observation)
             continue;
-        if (!t.synced || !t.reachable || !t.runs.empty() || t.ends_acknowledged < t.ends_seen)
+        if (!t.synced || !t.reachable || !t.runs.empty() || !t.unknown_runs.empty() ||
+            t.ends_acknowledged < t.ends_seen)
             out.push_back(id);
     }
     return out;
@@ -137,9 +138,10 @@
         request.deadline_ms = t.clock_at_time(now) + to_ms(settings_.target_lease);
         t.lease_until = std::max(t.lease_until, lease_end(now));
     }
-    if (t.synced && t.reachable && !t.runs.empty() && t.unstored.empty() &&
+    if (t.synced && t.reachable && !(t.runs.empty() && t.unknown_runs.empty()) && t.unstored.empty() &&
         t.ordered_down_at == timestamp{} && !has_stopped_run(t))
-        request.wait = settings_.observation_wait;
+        request.wait = t.unknown_runs.empty() ? settings_.observation_wait
+                                              : std::min(settings_.observation_wait, settings_.stop_retry);
     return request;
 }
 
@@ -288,6 +290,7 @@
                                    scheduler_time time)
 {
     std::set<std::pair<task_key, run_number>> listed;
+    const unknown_run_map unknown_before = std::exchange(t.unknown_runs, {});
     for (const listed_run& r : report.running) {
         listed.emplace(r.task, r.run);
         open_job* open = find_open(r.task.job);
@@ -295,9 +298,14 @@
                        ? &open->state->at(r.task.position)
                        : nullptr;
         if (it == nullptr || !it->run || it->run->number != r.run || it->run->target != t.info.id) {
-            log_event(scheduler_event::unknown_run_stopped, r.task.job, &r.task, r.run, t.info.id,
-                      it == nullptr ? "unknown task" : "not the task's current run");
-            commands_.emplace_back(stop_command{ref_of(t.info.id), r.task, r.run});
+            unknown_run& unknown = t.unknown_runs[{r.task, r.run}];
+            if (it != nullptr)
+                unknown.need = counted_need(open->state->step(r.task.position.step));
+            const auto before = unknown_before.find({r.task, r.run});
+            if (before != unknown_before.end())
+                unknown.stop_sent_at = before->second.stop_sent_at;
+            if (before == unknown_before.end() || time.now - unknown.stop_sent_at > settings_.stop_retry)
+                stop_unknown_run(t, r, unknown, time.now);
             continue;
         }
         if (!r.checkpoint.empty())
@@ -313,12 +321,24 @@
             after_change(*open, time);
         }
     }
+    if (std::any_of(unknown_before.begin(), unknown_before.end(),
+                    [&t](const auto& entry) { return !t.unknown_runs.contains(entry.first); }))
+        plan_needed_.insert(t.info.service);
     for_runs(t, [&](open_job& open, const task_position& p, const task_run& run) {
         if (!listed.contains({{open.state->id(), p}, run.number}))
             on_missing_run(open, p, sent_at, time);
     });
 }
 
+void job_scheduler::stop_unknown_run(const target_status& t, const listed_run& run, unknown_run& unknown,
+                                     timestamp now)
+{
+    log_event(scheduler_event::unknown_run_stopped, run.task.job, &run.task, run.run, t.info.id,
+              unknown.need ? "not the task's current run" : "unknown task");
+    commands_.emplace_back(stop_command{ref_of(t.info.id), run.task, run.run});
+    unknown.stop_sent_at = now;
+}
+
 void job_scheduler::on_missing_run(open_job& open, const task_position& p, timestamp sent_at,
                                    scheduler_time time)
 {
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -2,10 +2,13 @@
 
 #include "jobs/target_orders.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
+#include <utility>
 
 namespace mjm {
 
@@ -17,6 +20,13 @@
     std::uint64_t change = 0; ///< Number of the job's change that contains the end.
 };
 
+/// A run that a target lists although it is not its task's current run. The target has been told to stop it.
+struct unknown_run {
+    std::optional<resources> need; ///< What its task reserves; empty if the task is unknown.
+    timestamp stop_sent_at;
+};
+using unknown_run_map = std::map<std::pair<task_key, run_number>, unknown_run>;
+
 /// What the leader knows about a target.
 struct target_status {
     target_info info;
@@ -31,6 +41,9 @@
 
     resources used;          ///< Reserved by the runs in `runs`.
     std::set<task_key> runs; ///< Tasks of which a run is planned or may be running on the target.
+    /// Runs in the target's latest report that are not in `runs`. They use capacity until a report no longer
+    /// lists them.
+    unknown_run_map unknown_runs;
 
     bool clock_known = false;
     std::int64_t clock_ms = 0; ///< The target's clock at `clock_at`.
@@ -51,7 +64,21 @@
 
     /// Whether nothing runs on the target and the store has every end that it has listed.
     [[nodiscard]] bool settled() const { return runs.empty() && unstored.empty(); }
-    [[nodiscard]] resources free() const { return info.capacity - used; }
+    /// Whether the target lists a run of which it is not known how much capacity it uses.
+    [[nodiscard]] bool has_unknown_need() const
+    {
+        return std::any_of(unknown_runs.begin(), unknown_runs.end(),
+                           [](const auto& entry) { return !entry.second.need; });
+    }
+    /// Returns the capacity that is left beside all runs whose need is known. Amounts are negative if the
+    /// capacity has shrunk below what is used.
+    [[nodiscard]] resources free() const
+    {
+        resources left = info.capacity - used;
+        for (const auto& [run, it] : unknown_runs)
+            left -= it.need.value_or(resources{});
+        return left;
+    }
     /// Returns an estimate of the target's clock at `now`. It lags behind by the time that the latest answer
     /// was on the network.
     [[nodiscard]] std::int64_t clock_at_time(timestamp now) const { return clock_ms + to_ms(now - clock_at); }
--- a/src/plugins/jobs/tests/tst_target_capacity.cpp
+++ b/src/plugins/jobs/tests/tst_target_capacity.cpp
@@ -103,3 +103,76 @@
     CHECK(f.scheduler.planning_needed());
     CHECK(f.plan_and_store().size() == 3);
 }
+
+// Guards against a target that refuses nothing and is brought over its capacity while it stops a run that
+// belongs to no task any more (rule LIMIT).
+TEST_CASE("a listed run that is not its task's current run uses capacity until a report shows its end")
+{
+    scheduler_fixture f;
+    f.add_target("b");
+    const std::vector<start_command> current = f.run_job("known", 1, 20'000);
+    REQUIRE(current.size() == 1);
+    const target_id a = f.add_target("a");
+    f.report(a, {running(current[0])});
+    CHECK(f.take_stops().size() == 1);
+    f.add_job("waits", 1, 16'000);
+    CHECK(f.plan_and_store().empty());
+    f.advance(20ms);
+    f.report(a, {running(current[0])});
+    CHECK(f.plan_and_store().empty());
+    f.advance(20ms);
+    f.report(a, {}, {ended(current[0], 1, run_end::stopped)});
+    CHECK(f.scheduler.planning_needed());
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].target.id == a);
+}
+
+TEST_CASE("a target that lists a run of an unknown job gets no new work until it no longer lists the run")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    listed_run stray;
+    stray.task = {job_id{"gone"}, {0, 0, 0}};
+    stray.run = 3;
+    f.add_job("j", 1, 1000);
+    f.scheduler.plan(f.now());
+    f.scheduler.on_stored(f.scheduler.unstored(1000), f.now());
+    f.report(a, {stray});
+    CHECK(f.take_starts().empty());
+    CHECK(f.plan_and_store().empty());
+
+    const target_id b = f.add_target("b");
+    const std::vector<start_command> elsewhere = f.plan_and_store();
+    REQUIRE(elsewhere.size() == 1);
+    CHECK(elsewhere[0].target.id == b);
+
+    f.report(a, {});
+    f.add_job("k", 1, 32'000);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].target.id == a);
+}
+
+// Guards against a target that stays blocked because nobody asks whether the run has ended.
+TEST_CASE(
+    "a target that stops a run of an unknown job is observed, and the stop is repeated if it has no effect")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    listed_run stray;
+    stray.task = {job_id{"gone"}, {0, 0, 0}};
+    stray.run = 3;
+    f.report(a, {stray});
+    CHECK(f.take_stops().size() == 1);
+    f.advance(50ms);
+    CHECK(f.scheduler.due_observations(f.now().now) == std::vector<target_id>{a});
+    f.report(a, {stray});
+    CHECK(f.take_stops().empty());
+    f.advance(300ms);
+    f.report(a, {stray});
+    CHECK(f.take_stops().size() == 1);
+    f.report(a, {});
+    f.advance(50ms);
+    CHECK(f.scheduler.due_observations(f.now().now).empty());
+}
