Keep counting a start that is in flight when its target restarts

An order names the target but not the incarnation, so the new incarnation may carry it out, seconds later, beside work that was placed in its stead. Cause: discarding assumed that all runs had ended with the old incarnation. That is certain only for runs that it had. Change: a run whose start is in flight is kept and unconfirmed on the new incarnation. The next report lists it, or it is stopped and discarded when a report after the confirmed stop does not list it. A start that was ordered but not sent is withdrawn as before. Why this works: a target refuses a run after it has confirmed the run's stop, so no discarded run can appear. Not covered: an earlier start that was already stopped on the former incarnation and arrives seconds after the restart, and a start that the new incarnation has confirmed before the leader learns of the restart: it is discarded and then found as an unknown run, which is counted and stopped.

--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -10,6 +10,13 @@
 // still succeed.
 constexpr std::size_t max_backoff_doublings = 6;
 
+/// Whether a start that this leader ordered may still be carried out. A start of an earlier leader is fenced.
+bool start_in_flight(const task_run& run)
+{
+    return run.phase == run_phase::ordered ||
+           (run.phase == run_phase::unconfirmed && run.ordered_at != timestamp{});
+}
+
 } // namespace
 
 void job_scheduler::set_clock(target_status& t, std::int64_t clock_ms, timestamp now)
@@ -195,9 +202,17 @@
     t.ends_seen = 0;
     t.ends_acknowledged = 0;
     t.unstored.clear();
-    for_runs(t, [&](open_job& open, const task_position& p, const task_run& run) {
-        if (run.incarnation != incarnation)
-            discard_run(open, p, "target restarted", time);
+    for_runs(t, [&](open_job& open, const task_position& p, task_run& run) {
+        if (run.incarnation == incarnation)
+            return;
+        if (start_in_flight(run)) {
+            // The new incarnation may carry it out, even after its first answer.
+            run.incarnation = incarnation;
+            if (run.phase == run_phase::ordered)
+                run.phase = run_phase::unconfirmed;
+            return;
+        }
+        discard_run(open, p, "target restarted", time);
     });
 }
 
--- a/src/plugins/jobs/tests/tst_target_capacity.cpp
+++ b/src/plugins/jobs/tests/tst_target_capacity.cpp
@@ -1,5 +1,7 @@
 #include "scheduler_fixture.h"
 
+#include "jobs/job_codec.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -176,3 +178,107 @@
     f.advance(50ms);
     CHECK(f.scheduler.due_observations(f.now().now).empty());
 }
+
+TEST_CASE("restored runs use their target's capacity before and after the target's first report")
+{
+    scheduler_fixture f;
+    f.add_target("a");
+    const std::vector<start_command> starts = f.run_job("j", 8, 4000);
+    REQUIRE(starts.size() == 8);
+    const std::string progress = encode_progress(*f.scheduler.find_job(job_id{"j"}));
+
+    scheduler_fixture g;
+    REQUIRE(g.scheduler.restore_job(g.record_of("j", 8, 4000), progress, g.now()));
+    const target_id a{"a"};
+    g.scheduler.set_target(g.info_of("a"), g.now());
+    g.add_job("waits", 1, 4000);
+    CHECK(g.plan_and_store().empty());
+    std::vector<listed_run> all;
+    all.reserve(starts.size());
+    for (const start_command& s : starts)
+        all.push_back(running(s));
+    g.report(a, all);
+    CHECK(g.plan_and_store().empty());
+    all.pop_back();
+    g.advance(20ms);
+    g.report(a, all, {ended(starts.back(), 1, run_end::done)});
+    CHECK(g.plan_and_store().size() == 1);
+}
+
+TEST_CASE("a run that is being stopped uses capacity until its end is listed")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    const std::vector<start_command> starts = f.run_job("j", 1, 20'000);
+    REQUIRE(starts.size() == 1);
+    f.scheduler.cancel_job(job_id{"j"}, f.now());
+    REQUIRE(f.take_stops().size() == 1);
+    f.add_job("waits", 1, 20'000);
+    CHECK(f.plan_and_store().empty());
+    f.scheduler.on_stop_answer(a, starts[0].order.task, 1, order_answer{5000}, f.now());
+    f.advance(20ms);
+    f.report(a, {running(starts[0])});
+    CHECK(f.plan_and_store().empty());
+    f.advance(20ms);
+    f.report(a, {}, {ended(starts[0], 1, run_end::stopped)});
+    CHECK(f.plan_and_store().size() == 1);
+}
+
+TEST_CASE(
+    "a start without an answer uses capacity until its stop is confirmed and a report does not list the run")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1, 20'000);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    const start_command& start = starts[0];
+    f.scheduler.on_start_answer(a, start.order.task, 1, tl::unexpected{order_errc::no_answer}, f.now());
+    f.add_job("waits", 1, 20'000);
+    f.advance(20ms);
+    f.report(a, {});
+    REQUIRE(f.take_stops().size() == 1);
+    CHECK(f.plan_and_store().empty());
+    f.advance(20ms);
+    f.report(a, {});
+    CHECK(f.plan_and_store().empty());
+    f.scheduler.on_stop_answer(a, start.order.task, 1, order_answer{5000}, f.now());
+    CHECK(f.plan_and_store().empty());
+    f.advance(20ms);
+    f.report(a, {});
+    CHECK(f.plan_and_store().size() == 1);
+}
+
+// Guards against a start that is in flight when its target restarts under the same name, and that the new
+// incarnation carries out beside work that was placed in its stead.
+TEST_CASE("a start that is in flight when its target restarts uses capacity until it cannot be carried out")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1, 20'000);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    target_info info = f.info_of("a");
+    info.incarnation = 2;
+    f.scheduler.set_target(info, f.now());
+    f.add_job("waits", 1, 20'000);
+    f.advance(20ms);
+
+    SECTION("the new incarnation does not have the run")
+    {
+        f.report(a, {}, {}, 2);
+        CHECK(f.plan_and_store().empty());
+        REQUIRE(f.take_stops().size() == 1);
+        f.scheduler.on_stop_answer(a, starts[0].order.task, 1, order_answer{5000}, f.now());
+        f.advance(20ms);
+        f.report(a, {}, {}, 2);
+        CHECK(f.plan_and_store().size() == 1);
+    }
+    SECTION("the new incarnation has started the run")
+    {
+        f.report(a, {running(starts[0])}, {}, 2);
+        CHECK(f.plan_and_store().empty());
+        CHECK(f.take_stops().empty());
+        CHECK(f.scheduler.find_job(job_id{"j"})->started());
+    }
+}
