Give a restarted target work only by its new registration

Cause: a report tells of a restart before the registration does. The target was then used at once, by the capacity that its former incarnation had registered. Evidence: the new test failed on: after a report of incarnation 2, a task of 20 cores was started by the capacity of incarnation 1 (32 cores), before the registration of incarnation 2 with 8 cores was read. Change: a target remembers which incarnation its registration is of. It gets no new work, and starts that wait to be sent are withdrawn, while this is another one than its reports show. The entry of the new incarnation causes a planning pass; repeated entries of the old one no longer do. Changed test: "the runs of a restarted target are discarded" expected a start on the new incarnation without its registration, which is the fault. It now checks that no run is left after the report, and expects the start after the new registration.

--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -153,7 +153,7 @@
     // Most entries are heartbeats, which change nothing that planning depends on.
     const bool unchanged = !added && t.listed && t.info.state == info.state &&
                            t.info.service == info.service && t.info.capacity == info.capacity &&
-                           t.info.incarnation == info.incarnation;
+                           t.registered_incarnation == info.incarnation;
     if (added) {
         t.lease_until =
             created_at_ +
@@ -173,6 +173,7 @@
     if (!added)
         set_service_of_target(t, info.service);
     t.info = info;
+    t.registered_incarnation = info.incarnation;
     if (!added) {
         t.info.incarnation = known;
         if (info.incarnation > known) {
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -214,6 +214,8 @@
     if (!target.reachable || !target.clock_known || !target.listed ||
         target.info.state != target_state::ready || target.info.incarnation != run.incarnation)
         return "target changed before the start";
+    if (!target.capacity_known())
+        return "capacity of the restarted target is unknown";
     if (target.has_unknown_need())
         return "target runs an unknown task";
     return may_start(now) ? nullptr : "the view of targets or cancellations is too old";
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -29,8 +29,9 @@
 
 /// What the leader knows about a target.
 struct target_status {
-    target_info info;
-    bool listed = true;    ///< Whether service discovery has an entry for it.
+    target_info info; ///< The incarnation is the latest one that is known, also from reports.
+    target_incarnation registered_incarnation = 0; ///< Incarnation whose entry `info` is; 0 if it names none.
+    bool listed = true;                            ///< Whether service discovery has an entry for it.
     bool synced = false;   ///< Whether it has answered this leader, so that it refuses any earlier one.
     bool reachable = true; ///< Whether it counts as reachable, going by its latest answers.
     bool cordoned = false; ///< Whether it takes no new work, because its host will be maintained or moved.
@@ -64,6 +65,11 @@
 
     /// Whether nothing runs on the target and the store has every end that it has listed.
     [[nodiscard]] bool settled() const { return runs.empty() && unstored.empty(); }
+    /// Whether the capacity is that of the present incarnation. A new one may be of another kind.
+    [[nodiscard]] bool capacity_known() const
+    {
+        return registered_incarnation == 0 || registered_incarnation == info.incarnation;
+    }
     /// Whether the target lists a run of which it is not known how much capacity it uses.
     [[nodiscard]] bool has_unknown_need() const
     {
--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -314,6 +314,10 @@
     REQUIRE(starts.size() == 1);
     f.advance(20ms);
     f.report(a, {}, {}, 2);
+    CHECK(f.scheduler.targets().at(a).runs.empty());
+    target_info info = f.info_of("a");
+    info.incarnation = 2;
+    f.scheduler.set_target(info, f.now());
     CHECK(f.plan_and_store().size() == 1);
 }
 
--- a/src/plugins/jobs/tests/tst_target_capacity.cpp
+++ b/src/plugins/jobs/tests/tst_target_capacity.cpp
@@ -282,3 +282,24 @@
         CHECK(f.scheduler.find_job(job_id{"j"})->started());
     }
 }
+
+// Guards against work that is placed by the capacity of a target's former incarnation; a new one may be of a
+// smaller kind.
+TEST_CASE("a restarted target gets no work until its registration shows the new incarnation's capacity")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.advance(20ms);
+    f.report(a, {}, {}, 2);
+    f.add_job("j", 1, 20'000);
+    CHECK(f.plan_and_store().empty());
+    f.scheduler.set_target(f.info_of("a"), f.now());
+    CHECK(f.plan_and_store().empty());
+    target_info info = f.info_of("a");
+    info.incarnation = 2;
+    info.capacity.milli_cpu = 8000;
+    f.scheduler.set_target(info, f.now());
+    CHECK(f.plan_and_store().empty());
+    f.add_job("small", 1, 8000);
+    CHECK(f.plan_and_store().size() == 1);
+}
