Place no backfill task on a target that is over its capacity

Cause: processor time was not compared at all for backfill tasks, since they reserve none. The test that a target without any capacity is not chosen and does not affect the choice among others passed at once and is a guard: fractions of a capacity of 0 are 0, so there is no division by zero and no NaN in the ranking. Change: the capacity that a task reserves must fit in what is left, in each kind of resource. For a backfill task that is no processor time, which fits unless the target is over its capacity.

--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -61,9 +61,7 @@
 
 bool has_capacity(const target_status& t, const step_spec& step)
 {
-    const resources left = t.free();
-    return (step.backfill || step.need.milli_cpu <= left.milli_cpu) &&
-           step.need.memory_mib <= left.memory_mib && step.need.accelerators <= left.accelerators;
+    return counted_need(step).fits_in(t.free());
 }
 
 target_status* choose_target(const placement_request& request, const std::vector<target_status*>& pool,
--- a/src/plugins/jobs/tests/tst_target_capacity.cpp
+++ b/src/plugins/jobs/tests/tst_target_capacity.cpp
@@ -1,6 +1,7 @@
 #include "scheduler_fixture.h"
 
 #include "jobs/job_codec.h"
+#include "jobs/placement.h"
 
 #include <catch2/catch.hpp>
 
@@ -303,3 +304,42 @@
     f.add_job("small", 1, 8000);
     CHECK(f.plan_and_store().size() == 1);
 }
+
+TEST_CASE("a target whose runs exceed its capacity in one kind of resource has no capacity for any task")
+{
+    target_status t;
+    t.info.capacity = {8000, 1024, 0, 0};
+    t.used = {8000, 512, 0, 0};
+    step_spec backfill;
+    backfill.backfill = true;
+    backfill.need = {4000, 256, 0, 0};
+    CHECK(has_capacity(t, backfill)); // No processor time is reserved for it.
+    t.info.capacity.milli_cpu = 4000;
+    CHECK_FALSE(has_capacity(t, backfill));
+    t.info.capacity = {};
+    CHECK_FALSE(has_capacity(t, backfill));
+    t.info.capacity = {8000, 1024, 0, 0};
+    t.used = {1000, 512, 1, 0};
+    step_spec step;
+    step.need = {1000, 128, 0, 0};
+    CHECK_FALSE(has_capacity(t, step));
+}
+
+TEST_CASE("a target without capacity is not chosen and does not affect the choice among others")
+{
+    target_status empty;
+    empty.info.id = target_id{"empty"};
+    empty.synced = true;
+    target_status used = empty;
+    used.info.id = target_id{"used"};
+    used.used = {4000, 256, 0, 0};
+    target_status sound = empty;
+    sound.info.id = target_id{"sound"};
+    sound.info.capacity = {8000, 1024, 0, 0};
+    step_spec step;
+    step.need = {1000, 128, 0, 0};
+    placement_request request;
+    request.step = &step;
+    CHECK(choose_target(request, {&empty, &used, &sound}, timestamp{}) == &sound);
+    CHECK(choose_target(request, {&empty, &used}, timestamp{}) == nullptr);
+}
