Count a target that uses more than its capacity as full

Operators could see a maintenance wave take down a host with running work first and beyond the number that its time limit requires, as if it were idle, and pools give such a host away first, while its target's capacity had shrunk to 0. Cause: the load of a host is the used fraction of its target's capacity, and a kind of resource with a capacity of 0 does not count, so that the load was 0. Evidence: with the former expression the new test fails: the load of a target that uses 4 cores of a capacity of 0 was 0, and one that uses 1 accelerator of 0 was at the level of its other resources. Change: `target_status::fill_level` is at least 1 if more is used than there is, and is used for placement, for the order of hosts in waves and moves, and for the logged load of pools. Values for other targets are unchanged.

--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -218,7 +218,7 @@
         else if (const auto t = scheduler_.targets().find(target_of(id));
                  t != scheduler_.targets().end() && accepts_work(t->second, now) &&
                  !scheduler_.has_permanent_runs(t->first))
-            busy[pool->first].emplace_back(t->second.used.dominant_fraction(t->second.info.capacity), id);
+            busy[pool->first].emplace_back(t->second.fill_level(), id);
     }
     for (auto& [service, hosts] : busy) {
         std::sort(hosts.begin(), hosts.end());
@@ -275,7 +275,7 @@
             if (t.info.service != p.service || !accepts_work(t, now))
                 continue;
             ++usable;
-            used += t.used.dominant_fraction(t.info.capacity);
+            used += t.fill_level();
         }
         // A pool without work is not logged.
         if (p.needed > 0.0)
--- a/src/plugins/jobs/host_waves.cpp
+++ b/src/plugins/jobs/host_waves.cpp
@@ -44,9 +44,7 @@
             host->second.state != host_state::up)
             continue;
         const auto t = scheduler_.targets().find(target_of(id));
-        candidates.push_back({id, t == scheduler_.targets().end()
-                                      ? 0.0
-                                      : t->second.used.dominant_fraction(t->second.info.capacity)});
+        candidates.push_back({id, t == scheduler_.targets().end() ? 0.0 : t->second.fill_level()});
     }
     if (left == 0) {
         w.completed = true;
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -32,7 +32,7 @@
 double cost(const target_status& t, const placement_request& request)
 {
     const step_spec& step = *request.step;
-    const double fill = t.used.dominant_fraction(t.info.capacity);
+    const double fill = t.fill_level();
     double result = step.backfill ? fill : 1.0 - fill;
     const std::string& rack = step.data_rack.empty() ? request.preferred_rack : step.data_rack;
     if (!rack.empty() && t.info.rack.str() != rack)
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -85,6 +85,13 @@
             left -= it.need.value_or(resources{});
         return left;
     }
+    /// Returns the used fraction of the capacity, by the kind of resource of which most is used. It is at
+    /// least 1 if more is used than there is, even if the capacity has shrunk to 0.
+    [[nodiscard]] double fill_level() const
+    {
+        const double level = used.dominant_fraction(info.capacity);
+        return used.fits_in(info.capacity) ? level : std::max(level, 1.0);
+    }
     /// Returns an estimate of the target's clock at `now`. It lags behind by the time that the latest answer
     /// was on the network.
     [[nodiscard]] std::int64_t clock_at_time(timestamp now) const { return clock_ms + to_ms(now - clock_at); }
--- a/src/plugins/jobs/tests/tst_target_capacity.cpp
+++ b/src/plugins/jobs/tests/tst_target_capacity.cpp
@@ -343,3 +343,21 @@
     CHECK(choose_target(request, {&empty, &used, &sound}, timestamp{}) == &sound);
     CHECK(choose_target(request, {&empty, &used}, timestamp{}) == nullptr);
 }
+
+// Guards against hosts that count as idle because their target's capacity has shrunk to 0: a maintenance wave
+// took them down first, and pools gave them away first, although tasks were running there.
+TEST_CASE("a target that uses more than its capacity counts as full")
+{
+    target_status t;
+    CHECK(t.fill_level() == Approx(0.0));
+    t.info.capacity = {8000, 1024, 0, 0};
+    t.used = {4000, 256, 0, 0};
+    CHECK(t.fill_level() == Approx(0.5));
+    t.info.capacity = {2000, 1024, 0, 0};
+    CHECK(t.fill_level() == Approx(2.0));
+    t.info.capacity = {};
+    CHECK(t.fill_level() == Approx(1.0));
+    t.info.capacity = {8000, 1024, 0, 0};
+    t.used = {1000, 64, 1, 0};
+    CHECK(t.fill_level() == Approx(1.0));
+}
