Measure demand in hosts by a pool's median host

Operators could see hosts moved for a demand that is not there, if the platform's list shows the smaller capacity of a host that has shrunk: it is not said whether that list does. Cause: the demand of a pool was divided by the capacity of the first host of the pool that has any processor time. A host with 0.1 of a core left thus turned a demand of 16 cores into 160 hosts. A capacity of 0 was left out, so there is no division by zero. Evidence: with the first host's capacity the new test fails (160 hosts instead of 2). It is a unit test; no play has shown the case. Change: the demand is divided by the median of the pool's hosts in each kind of resource, as a function without state in pool_plan. Hosts without a kind are left out for that kind. Why it works: the median does not depend on a few hosts. For pools of equal hosts the result is what it was.

--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -162,15 +162,6 @@
     return it == hosts_.end() ? target_id{} : it->second.target;
 }
 
-double host_manager::hosts_needed(const resources& need, const service_id& service) const
-{
-    for (const auto& [id, h] : hosts_) {
-        if (h.pool == service && h.capacity.milli_cpu > 0)
-            return need.dominant_fraction(h.capacity);
-    }
-    return 0.0;
-}
-
 double host_manager::demand_growth(const service_id& service, double present)
 {
     const timestamp now = time_.now();
@@ -190,14 +181,17 @@
     const timestamp now = time_.now();
     std::map<service_id, pool_state> pools;
     std::map<service_id, std::vector<std::pair<double, std::string>>> busy; // load and host
+    std::map<service_id, std::vector<resources>> capacities;
+    for (const auto& [id, h] : hosts_)
+        capacities[h.pool].push_back(h.capacity);
     for (const auto& [id, service] : config_->services) {
         pool_state& p = pools[id];
         p.service = id;
         p.standby = service.standby;
         const pool_demand demand = scheduler_.demand_of(id);
-        p.needed = hosts_needed(demand.total, id);
-        p.present = hosts_needed(demand.present, id);
-        p.waiting = hosts_needed(demand.waiting, id);
+        p.needed = hosts_needed(demand.total, capacities[id]);
+        p.present = hosts_needed(demand.present, capacities[id]);
+        p.waiting = hosts_needed(demand.waiting, capacities[id]);
         p.growth = p.standby ? 0.0 : demand_growth(id, p.present);
     }
     for (const auto& [id, h] : hosts_) {
--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -110,8 +110,6 @@
     /// Returns the growth of the pool's demand in hosts per second; 0 while it falls.
     double demand_growth(const service_id& service, double present);
     void log_pools(const std::vector<pool_state>& pools);
-    /// Returns the number of the pool's hosts that `need` fills; 0 if the pool has no hosts.
-    [[nodiscard]] double hosts_needed(const resources& need, const service_id& service) const;
 
     // host_waves.cpp
     void choose_maintenance();
--- a/src/plugins/jobs/pool_plan.cpp
+++ b/src/plugins/jobs/pool_plan.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
+#include <cstdint>
 
 namespace mjm {
 
@@ -60,8 +62,31 @@
     return out;
 }
 
+std::int64_t median_amount(const std::vector<resources>& capacities, std::int64_t resources::*kind)
+{
+    std::vector<std::int64_t> amounts;
+    for (const resources& r : capacities) {
+        if (r.*kind > 0)
+            amounts.push_back(r.*kind);
+    }
+    if (amounts.empty())
+        return 0;
+    const auto middle = amounts.begin() + static_cast<std::ptrdiff_t>(amounts.size() / 2);
+    std::nth_element(amounts.begin(), middle, amounts.end());
+    return *middle;
+}
+
 } // namespace
 
+double hosts_needed(const resources& need, const std::vector<resources>& host_capacities)
+{
+    resources typical;
+    typical.milli_cpu = median_amount(host_capacities, &resources::milli_cpu);
+    typical.memory_mib = median_amount(host_capacities, &resources::memory_mib);
+    typical.accelerators = median_amount(host_capacities, &resources::accelerators);
+    return need.dominant_fraction(typical);
+}
+
 std::vector<host_move> plan_moves(std::vector<pool_state> pools, const pool_plan_settings& settings)
 {
     std::vector<host_move> moves;
--- a/src/plugins/jobs/pool_plan.h
+++ b/src/plugins/jobs/pool_plan.h
@@ -54,6 +54,11 @@
     service_id to;
 };
 
+/// Returns how many hosts of a pool the need fills, measured by the pool's median host in each kind of
+/// resource, so that a few hosts with a temporarily smaller capacity have no effect. Hosts without a kind of
+/// resource are left out for that kind. Returns 0 if no host has any capacity.
+[[nodiscard]] double hosts_needed(const resources& need, const std::vector<resources>& host_capacities);
+
 /// Returns the hosts to be moved to another pool, so that hosts follow a demand that rises and falls in
 /// different pools at different times. A pool gets switched-off hosts first, then idle hosts of other pools;
 /// hosts that have been idle for `idle_time` return to the standby pool. While a pool is short of hosts,
--- a/src/plugins/jobs/tests/tst_target_capacity.cpp
+++ b/src/plugins/jobs/tests/tst_target_capacity.cpp
@@ -2,6 +2,7 @@
 
 #include "jobs/job_codec.h"
 #include "jobs/placement.h"
+#include "jobs/pool_plan.h"
 
 #include <catch2/catch.hpp>
 
@@ -361,3 +362,16 @@
     t.used = {1000, 64, 1, 0};
     CHECK(t.fill_level() == Approx(1.0));
 }
+
+// Guards against a demand of many hosts, and moves to meet it, because of one host whose capacity has shrunk.
+TEST_CASE("a host with a temporarily smaller capacity does not distort the demand in hosts")
+{
+    const resources sound{8000, 1024, 0, 0};
+    const resources need{16'000, 512, 0, 0};
+    CHECK(hosts_needed(need, {{100, 1024, 0, 0}, sound, sound}) == Approx(2.0));
+    CHECK(hosts_needed(need, {{}, sound, sound}) == Approx(2.0));
+    CHECK(hosts_needed(need, {sound}) == Approx(2.0));
+    CHECK(hosts_needed({0, 0, 4, 0}, {sound, {8000, 1024, 2, 0}, sound}) == Approx(2.0));
+    CHECK(hosts_needed(need, {{}, {}}) == Approx(0.0));
+    CHECK(hosts_needed(need, {}) == Approx(0.0));
+}
