--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -158,7 +158,7 @@
     // Most entries are heartbeats, which change nothing that planning depends on.
     const bool unchanged = !added && t.listed && t.info.state == info.state &&
                            t.info.service == info.service && t.info.capacity == info.capacity &&
-                           t.info.incarnation == info.incarnation;
+                           t.registered_incarnation == info.incarnation;
     if (added) {
         t.lease_until =
             created_at_ +
@@ -174,6 +174,7 @@
         log_event(scheduler_event::target_changed, {}, nullptr, 0, info.id,
                   info.state == target_state::draining ? "draining" : "ready");
     }
+    t.registered_incarnation = info.incarnation;
     if (added) {
         t.info = info;
         resolve_predecessors(info, time);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -347,6 +347,9 @@
     [[nodiscard]] const char* obstacle_to_start(const task_run& run, timestamp now) const;
     /// Removes starts that must not be sent any more, and discards their runs.
     void withdraw_starts(scheduler_time time);
+    /// Returns, for each target whose runs exceed its capacity, what is left for the starts that wait to be
+    /// sent. Runs of which no start has been sent are not counted.
+    [[nodiscard]] std::map<target_id, resources> capacity_for_starts() const;
     /// Returns why the start must not be sent any more, or null if it may be.
     [[nodiscard]] const char* obstacle_to_sending(const start_command& start, timestamp now) const;
     /// Returns the latest time, on this host's clock, at which a lease granted at `granted_at` ends on its
@@ -417,9 +420,12 @@
     void on_failed_run(target_status& t, open_job& open, const task_position& p, scheduler_time time);
     void reconcile_runs(target_status& t, const target_report& report, timestamp sent_at,
                         scheduler_time time);
+    void stop_unknown_run(const target_status& t, const listed_run& run, unknown_run& unknown, timestamp now);
     /// Whether a run on the target is waiting for the report that follows a confirmed stop.
     [[nodiscard]] bool has_stopped_run(const target_status& t) const;
     void on_missing_run(open_job& open, const task_position& p, timestamp sent_at, scheduler_time time);
+    /// Returns the longest time for which the target may delay its report until a run ends.
+    [[nodiscard]] duration observation_wait(const target_status& t) const;
     /// Handles a restart of the target: discards the runs of earlier incarnations.
     void on_target_restart(target_status& t, target_incarnation incarnation, scheduler_time time);
     /// Handles that the target's address belongs to another target or incarnation, so that all its runs have
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -44,7 +44,7 @@
 double cost(const target_status& t, const placement_request& request)
 {
     const step_spec& step = *request.step;
-    const double fill = t.used.dominant_fraction(t.info.capacity);
+    const double fill = t.fill_level();
     // On an emptier target, a suspected run endangers fewer others.
     double result = step.backfill || request.suspected ? fill : 1.0 - fill;
     const std::string& rack = step.data_rack.empty() ? request.preferred_rack : step.data_rack;
@@ -68,7 +68,8 @@
 bool accepts_work(const target_status& t, timestamp now)
 {
     return t.listed && t.synced && t.reachable && !t.cordoned && !t.leaving &&
-           t.info.state == target_state::ready && now >= t.avoid_until;
+           t.info.state == target_state::ready && now >= t.avoid_until && t.capacity_known() &&
+           !t.has_unknown_need();
 }
 
 bool could_run(const target_status& t, const placement_request& request)
@@ -78,9 +79,7 @@
 
 bool has_capacity(const target_status& t, const step_spec& step)
 {
-    const resources left = t.free();
-    return (step.backfill || step.need.milli_cpu <= left.milli_cpu) &&
-           step.need.memory_mib <= left.memory_mib && step.need.accelerators <= left.accelerators;
+    return counted_need(step).fits_in(t.free());
 }
 
 target_status* choose_target(const placement_request& request, const std::vector<target_status*>& pool,
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -2,10 +2,13 @@
 
 #include "jobs/target_orders.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
+#include <utility>
 
 namespace mjm {
 
@@ -17,10 +20,18 @@
     std::uint64_t change = 0; ///< Number of the job's change that contains the end.
 };
 
+/// A run that a target lists although it is not its task's current run. The target has been told to stop it.
+struct unknown_run {
+    std::optional<resources> need; ///< What its task reserves; empty if the task is unknown.
+    timestamp stop_sent_at;
+};
+using unknown_run_map = std::map<std::pair<task_key, run_number>, unknown_run>;
+
 /// What the leader knows about a target.
 struct target_status {
-    target_info info;
-    bool listed = true;    ///< Whether service discovery has an entry for it.
+    target_info info; ///< The incarnation is the latest one that is known, also from reports.
+    target_incarnation registered_incarnation = 0; ///< Incarnation whose entry `info` is; 0 if it names none.
+    bool listed = true;                            ///< Whether service discovery has an entry for it.
     bool synced = false;   ///< Whether it has answered this leader, so that it refuses any earlier one.
     bool reachable = true; ///< Whether it counts as reachable, going by its latest answers.
     bool cordoned = false; ///< Whether it takes no new work, because its host will be maintained or moved.
@@ -34,6 +45,9 @@
     std::size_t runs_on_probation = 0; ///< Those of the runs that may be the cause if the target crashes.
     std::size_t suspected_runs = 0;    ///< Those on probation whose tasks were in crashes before.
     bool kept_for_isolation = false;   ///< Whether only an isolated run may be placed on it.
+    /// Runs in the target's latest report that are not in `runs`. They use capacity until a report no longer
+    /// lists them.
+    unknown_run_map unknown_runs;
 
     bool clock_known = false;
     std::int64_t clock_ms = 0; ///< The target's clock at `clock_at`.
@@ -54,7 +68,33 @@
 
     /// Whether nothing runs on the target and the store has every end that it has listed.
     [[nodiscard]] bool settled() const { return runs.empty() && unstored.empty(); }
-    [[nodiscard]] resources free() const { return info.capacity - used; }
+    /// Whether the capacity is that of the present incarnation. A new one may be of another kind.
+    [[nodiscard]] bool capacity_known() const
+    {
+        return registered_incarnation == 0 || registered_incarnation == info.incarnation;
+    }
+    /// Whether the target lists a run of which it is not known how much capacity it uses.
+    [[nodiscard]] bool has_unknown_need() const
+    {
+        return std::any_of(unknown_runs.begin(), unknown_runs.end(),
+                           [](const auto& entry) { return !entry.second.need; });
+    }
+    /// Returns the capacity that is left beside all runs whose need is known. Amounts are negative if the
+    /// capacity has shrunk below what is used.
+    [[nodiscard]] resources free() const
+    {
+        resources left = info.capacity - used;
+        for (const auto& [run, it] : unknown_runs)
+            left -= it.need.value_or(resources{});
+        return left;
+    }
+    /// Returns the used fraction of the capacity, by the kind of resource of which most is used. It is at
+    /// least 1 if more is used than there is, even if the capacity has shrunk to 0.
+    [[nodiscard]] double fill_level() const
+    {
+        const double level = used.dominant_fraction(info.capacity);
+        return used.fits_in(info.capacity) ? level : std::max(level, 1.0);
+    }
     /// Returns an estimate of the target's clock at `now`. It lags behind by the time that the latest answer
     /// was on the network.
     [[nodiscard]] std::int64_t clock_at_time(timestamp now) const { return clock_ms + to_ms(now - clock_at); }
