Repeat stops that fail at growing intervals

Cause: a stop without an answer was sent again every 300 ms, for as long as its run was known, with a line for each failure. Change: the interval doubles from 0.3 to 2.4 s. A report of the run's target repeats the stop at once if the latest one is more than 0.3 s old, and while a failed stop waits, an observation of its target waits 0.3 s at most. The leader writes `stop_refused` for the first failure and for another error than before, and `stop_confirmed` for a success after a failure; `mjm_orders_total` still counts every answer. Why this works: the number of attempts is bounded while the target can't be reached, and a report, which shows that it can, brings the next attempt as soon as before.

--- a/src/plugins/jobs/job.h
+++ b/src/plugins/jobs/job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/job_types.h"
+#include "jobs/target_orders.h"
 
 #include <optional>
 #include <string>
@@ -36,7 +37,9 @@
     std::uint64_t planned_change = 0; ///< Number of the job's change that must be stored before the start.
     timestamp ordered_at;             ///< When the run was planned, or the latest start or stop was sent.
     timestamp answered_at; ///< When the target confirmed the latest order; the epoch if it has not.
-    std::int64_t confirmed_clock_ms = 0; ///< The target's clock when it confirmed the start.
+    std::int64_t confirmed_clock_ms = 0;  ///< The target's clock when it confirmed the start.
+    int unanswered_stops = 0;             ///< Stops sent since the target confirmed an order.
+    std::optional<order_errc> stop_error; ///< Why the latest stop that was answered had no effect.
     int pace_percent = 100;
     bool on_known_target = false; ///< Whether the run is counted in the status of its target.
     bool order_pending = false;   ///< Whether a start or stop of the run is in flight.
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -362,19 +362,22 @@
                 request_pass();
             }));
     } else if (const stop_command* stop = std::get_if<stop_command>(&command)) {
-        services_.orders.stop(stop->target, stop->task, stop->run, token_,
-                              guarded([this, target = stop->target.id, task = stop->task, run = stop->run](
-                                          const tl::expected<order_answer, order_errc>& answer) {
-                                  if (!answer)
-                                      services_.log.warn("stop_refused",
-                                                         {{"task", to_string(task)},
-                                                          {"run", run},
-                                                          {"target", target},
-                                                          {"error", name_of(answer.error())}});
-                                  count_answer("stop", answer);
-                                  scheduler_.on_stop_answer(target, task, run, answer, now());
-                                  request_pass();
-                              }));
+        services_.orders.stop(
+            stop->target, stop->task, stop->run, token_,
+            guarded([this, target = stop->target.id, task = stop->task,
+                     run = stop->run](const tl::expected<order_answer, order_errc>& answer) {
+                count_answer("stop", answer);
+                const bool changed = scheduler_.on_stop_answer(target, task, run, answer, now());
+                if (changed && !answer)
+                    services_.log.warn("stop_refused", {{"task", to_string(task)},
+                                                        {"run", run},
+                                                        {"target", target},
+                                                        {"error", name_of(answer.error())}});
+                else if (changed)
+                    services_.log.info("stop_confirmed",
+                                       {{"task", to_string(task)}, {"run", run}, {"target", target}});
+                request_pass();
+            }));
     } else if (const pace_command* pace = std::get_if<pace_command>(&command)) {
         services_.log.info("pace_changed", {{"task", to_string(pace->task)},
                                             {"run", pace->run},
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -6,6 +6,14 @@
 
 namespace mjm {
 
+namespace {
+
+// Limits the interval between two stops without an answer to 8 times the first one, 2.4 s. A report of the
+// target repeats the stop sooner.
+constexpr int max_stop_doublings = 3;
+
+} // namespace
+
 job_scheduler::job_scheduler(scheduler_settings settings, fencing_token token, scheduler_time time,
                              log_handler handler)
     : settings_{settings}, token_{token}, created_at_{time.now},
@@ -328,6 +336,7 @@
     run.ordered_at = now;
     run.answered_at = {};
     run.order_pending = true;
+    ++run.unanswered_stops;
     commands_.emplace_back(stop_command{ref_of(run.target), key, run.number});
 }
 
@@ -430,6 +439,12 @@
     }
 }
 
+bool job_scheduler::stop_failed(const task_run& run, duration interval, timestamp now)
+{
+    return run.phase == run_phase::stopping && !run.order_pending && run.answered_at == timestamp{} &&
+           now - run.ordered_at > interval;
+}
+
 void job_scheduler::check_runs(scheduler_time time)
 {
     for_tasks_with_runs([&](open_job& open, const task_position& p, task& t) {
@@ -442,8 +457,8 @@
             return;
         }
         // After a confirmed stop, the target's next report shows whether the run has ended.
-        if (t.run->phase == run_phase::stopping && t.run->answered_at == timestamp{} &&
-            time.now - t.run->ordered_at > settings_.stop_retry)
+        const int doublings = std::clamp(t.run->unanswered_stops - 1, 0, max_stop_doublings);
+        if (stop_failed(*t.run, settings_.stop_retry * (1 << doublings), time.now))
             send_stop({open.state->id(), p}, *t.run, time.now);
     });
 }
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -186,7 +186,9 @@
     // Answers.
     void on_start_answer(const target_id& target, const task_key& key, run_number run,
                          const tl::expected<order_answer, order_errc>& answer, scheduler_time time);
-    void on_stop_answer(const target_id& target, const task_key& key, run_number run,
+    /// Returns whether the outcome differs from that of the previous stop of the run; a first success does
+    /// not.
+    bool on_stop_answer(const target_id& target, const task_key& key, run_number run,
                         const tl::expected<order_answer, order_errc>& answer, scheduler_time time);
     void on_report(const target_id& target, const tl::expected<target_report, order_errc>& report,
                    timestamp sent_at, scheduler_time time);
@@ -346,7 +348,7 @@
     [[nodiscard]] std::optional<duration> stall_bound(const open_job& open, const task_position& p,
                                                       const target_status& t, timestamp now) const;
     /// Returns the time after which the next report on the task's run on the target is needed, so that a
-    /// stalled run is noticed soon.
+    /// stalled run is noticed and a stop that has failed is repeated soon.
     [[nodiscard]] duration time_to_next_report(const open_job& open, const task_position& p,
                                                const target_status& t, timestamp now) const;
     /// Returns the time, in whole milliseconds, for which the target may delay its answer to an observation.
@@ -365,6 +367,8 @@
                         scheduler_time time);
     /// Whether a run on the target is waiting for the report that follows a confirmed stop.
     [[nodiscard]] bool has_stopped_run(const target_status& t) const;
+    /// Whether the run's latest stop has failed, and was sent longer than `interval` ago.
+    [[nodiscard]] static bool stop_failed(const task_run& run, duration interval, timestamp now);
     void on_missing_run(open_job& open, const task_position& p, timestamp sent_at, scheduler_time time);
     /// Handles a restart of the target: discards the runs of earlier incarnations.
     void on_target_restart(target_status& t, target_incarnation incarnation, scheduler_time time);
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mjm {
 
@@ -39,6 +40,7 @@
     it.run->order_pending = false;
     if (answer) {
         it.run->answered_at = time.now;
+        it.run->unanswered_stops = 0;
         if (t != nullptr && !t->observing)
             t->next_observation = std::min(t->next_observation, time.now);
     }
@@ -87,11 +89,15 @@
     discard_run(open, key.position, name_of(ec).data(), time);
 }
 
-void job_scheduler::on_stop_answer(const target_id& target, const task_key& key, run_number run,
+bool job_scheduler::on_stop_answer(const target_id& target, const task_key& key, run_number run,
                                    const tl::expected<order_answer, order_errc>& answer, scheduler_time time)
 {
     // Whether the run has ended is read from the target's next report.
-    static_cast<void>(apply_answer(target, key, run, answer, time));
+    task_run* const stopped = apply_answer(target, key, run, answer, time);
+    if (stopped == nullptr)
+        return !answer;
+    const std::optional<order_errc> error = answer ? std::nullopt : std::optional{answer.error()};
+    return std::exchange(stopped->stop_error, error) != error;
 }
 
 void job_scheduler::on_other_instance(target_status& t, scheduler_time time)
@@ -316,7 +322,9 @@
         }
         move_if_stalled(*open, r.task.position, report.clock_ms, time);
     }
-    for_runs(t, [&](open_job& open, const task_position& p, const task_run& run) {
+    for_runs(t, [&](open_job& open, const task_position& p, task_run& run) {
+        if (stop_failed(run, settings_.stop_retry, time.now))
+            send_stop({open.state->id(), p}, run, time.now);
         if (!listed.contains({{open.state->id(), p}, run.number}))
             on_missing_run(open, p, sent_at, time);
     });
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -26,8 +26,8 @@
     duration lease_margin{std::chrono::milliseconds{250}};
     /// Wait before a task is started again after its first failure; doubled with each further failure.
     duration failure_backoff{std::chrono::milliseconds{50}};
-    /// Wait before an unanswered stop is sent again, and before a stop is repeated for a run that its target
-    /// still lists.
+    /// Wait before an unanswered stop is sent again, doubled with each further one, and before a stop is
+    /// repeated for a run that its target still lists.
     duration stop_retry{std::chrono::milliseconds{300}};
     /// Number of successive failed runs of different jobs after which a target is avoided.
     int failures_until_avoided = 2;
--- a/src/plugins/jobs/scheduler_stragglers.cpp
+++ b/src/plugins/jobs/scheduler_stragglers.cpp
@@ -56,9 +56,13 @@
 duration job_scheduler::time_to_next_report(const open_job& open, const task_position& p,
                                             const target_status& t, timestamp now) const
 {
+    const task& it = open.state->at(p);
+    // The report tells that the target can be reached again.
+    if (it.run && stop_failed(*it.run, duration{0}, now))
+        return settings_.stop_retry;
     if (!may_be_moved(open, p))
         return settings_.observation_wait;
-    const duration age = now - open.state->at(p).run->answered_at;
+    const duration age = now - it.run->answered_at;
     std::optional<duration> bound = stall_bound(open, p, t, now);
     const step_spec& step = open.state->step(p.step);
     if (!bound && step.tasks > 1)
--- a/src/plugins/jobs/tests/tst_silent_targets.cpp
+++ b/src/plugins/jobs/tests/tst_silent_targets.cpp
@@ -308,3 +308,65 @@
     CHECK(targets.stops.empty());
     CHECK(targets.observations <= 50);
 }
+
+// Guards against a leader that repeats stops that can't be sent for as long as it is cut off, and writes a
+// line for each: in an incident 778 in 5 s.
+TEST_CASE("a stop that can't be sent is repeated at growing intervals, and its error is new only once")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    const std::vector<start_command> starts = f.run_job("j", 1);
+    REQUIRE(starts.size() == 1);
+    const task_key key = starts[0].order.task;
+    f.scheduler.cancel_job(job_id{"j"}, f.now());
+    std::vector<timestamp> sent;
+    std::size_t changes = 0;
+    for (int i = 0; i < 600; ++i) {
+        for (const stop_command& s : f.take_stops()) {
+            sent.push_back(f.now().now);
+            if (f.scheduler.on_stop_answer(a, s.task, s.run, tl::unexpected{order_errc::not_sent}, f.now()))
+                ++changes;
+        }
+        f.advance(10ms);
+    }
+    CHECK(sent.size() <= 5);
+    CHECK(changes == 1);
+    REQUIRE(sent.size() >= 2);
+    for (std::size_t i = 1; i < sent.size(); ++i)
+        CHECK(sent[i] - sent[i - 1] <= 2600ms);
+    f.advance(3s);
+    REQUIRE(f.take_stops().size() == 1);
+    CHECK(f.scheduler.on_stop_answer(a, key, 1, tl::unexpected{order_errc::no_answer}, f.now()));
+    f.advance(3s);
+    REQUIRE(f.take_stops().size() == 1);
+    CHECK(f.scheduler.on_stop_answer(a, key, 1, order_answer{f.clock_ms()}, f.now()));
+    f.advance(10ms);
+    f.report(a, {}, {ended(starts[0], 1, run_end::stopped)});
+    CHECK(f.scheduler.find_job(job_id{"j"})->state() == job_state::cancelled);
+}
+
+// Guards against a cancelled run that works on after the link to its target is back, because the next attempt
+// of its stop is seconds away.
+TEST_CASE("a stop that could not be sent is repeated soon after its target reports again")
+{
+    for (const bool listed : {true, false}) {
+        scheduler_fixture f;
+        const target_id a = f.add_target("a");
+        const std::vector<start_command> starts = f.run_job("j", 1);
+        REQUIRE(starts.size() == 1);
+        f.scheduler.cancel_job(job_id{"j"}, f.now());
+        for (int i = 0; i < 40; ++i) {
+            for (const stop_command& s : f.take_stops())
+                static_cast<void>(f.scheduler.on_stop_answer(a, s.task, s.run,
+                                                             tl::unexpected{order_errc::not_sent}, f.now()));
+            f.advance(100ms);
+        }
+        // An observation waits no longer than the first attempts are apart.
+        CHECK(f.scheduler.begin_observation(a, f.now().now).wait <= 300ms);
+        std::vector<listed_run> runs;
+        if (listed)
+            runs.push_back(running(starts[0]));
+        f.report(a, runs);
+        CHECK(f.take_stops().size() == 1);
+    }
+}
