Merge the judgement of stalled runs by their targets' reports

Change beyond them: the wait of an observation is the shortest of those for stalled, suspected and unknown runs.

--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -192,7 +192,9 @@
     // Answers.
     void on_start_answer(const target_id& target, const task_key& key, run_number run,
                          const tl::expected<order_answer, order_errc>& answer, scheduler_time time);
-    void on_stop_answer(const target_id& target, const task_key& key, run_number run,
+    /// Returns whether the outcome differs from that of the previous stop of the run; a first success does
+    /// not.
+    bool on_stop_answer(const target_id& target, const task_key& key, run_number run,
                         const tl::expected<order_answer, order_errc>& answer, scheduler_time time);
     void on_report(const target_id& target, const tl::expected<target_report, order_errc>& report,
                    timestamp sent_at, scheduler_time time);
@@ -205,7 +207,7 @@
     [[nodiscard]] target_ref ref_of(const target_id& target) const;
 
     /// Does the work that depends on time: discards the runs of lost targets, repeats stops, and moves tasks
-    /// off draining targets and stalled tasks elsewhere.
+    /// off draining targets.
     void tick(scheduler_time time);
 
     /// Whether a target has refused an order because it obeys a newer leader.
@@ -405,9 +407,20 @@
     void forget_old_crashes(timestamp now);
 
     // scheduler_stragglers.cpp
-    void move_stragglers(scheduler_time time);
-    [[nodiscard]] bool is_stalled(const open_job& open, const task_position& p, const task_run& run,
-                                  scheduler_time time) const;
+    /// Moves the task elsewhere if its run, which the target listed when its clock showed `clock_ms`, was
+    /// stalled by then. A target that sends no report is never held to have stalled a run.
+    void move_if_stalled(open_job& open, const task_position& p, std::int64_t clock_ms, scheduler_time time);
+    /// Whether the task is one that is moved when its run stalls.
+    [[nodiscard]] bool may_be_moved(const open_job& open, const task_position& p) const;
+    /// Returns the age above which the task's run on the target is stalled, or no value if that is not known.
+    [[nodiscard]] std::optional<duration> stall_bound(const open_job& open, const task_position& p,
+                                                      const target_status& t, timestamp now) const;
+    /// Returns the time after which the next report on the task's run on the target is needed, so that a
+    /// stalled run is noticed and a stop that has failed is repeated soon.
+    [[nodiscard]] duration time_to_next_report(const open_job& open, const task_position& p,
+                                               const target_status& t, timestamp now) const;
+    /// Returns the time, in whole milliseconds, for which the target may delay its answer to an observation.
+    [[nodiscard]] duration observation_wait(const target_status& t, timestamp now) const;
     /// Stops the run if another target has free capacity for the task.
     void move_straggler(open_job& open, const task_position& p, scheduler_time time);
 
@@ -423,9 +436,9 @@
     void stop_unknown_run(const target_status& t, const listed_run& run, unknown_run& unknown, timestamp now);
     /// Whether a run on the target is waiting for the report that follows a confirmed stop.
     [[nodiscard]] bool has_stopped_run(const target_status& t) const;
+    /// Whether the run's latest stop has failed, and was sent longer than `interval` ago.
+    [[nodiscard]] static bool stop_failed(const task_run& run, duration interval, timestamp now);
     void on_missing_run(open_job& open, const task_position& p, timestamp sent_at, scheduler_time time);
-    /// Returns the longest time for which the target may delay its report until a run ends.
-    [[nodiscard]] duration observation_wait(const target_status& t) const;
     /// Handles a restart of the target: discards the runs of earlier incarnations.
     void on_target_restart(target_status& t, target_incarnation incarnation, scheduler_time time);
     /// Handles that the target's address belongs to another target or incarnation, so that all its runs have
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mjm {
 
@@ -46,6 +47,7 @@
     it.run->order_pending = false;
     if (answer) {
         it.run->answered_at = time.now;
+        it.run->unanswered_stops = 0;
         if (t != nullptr && !t->observing)
             t->next_observation = std::min(t->next_observation, time.now);
     }
@@ -61,6 +63,7 @@
     open_job& open = jobs_.at(key.job);
     if (answer) {
         open.state->mark_started();
+        ordered->confirmed_clock_ms = answer->clock_ms;
         if (ordered->phase == run_phase::ordered)
             ordered->phase = run_phase::running;
         return;
@@ -93,11 +96,15 @@
     discard_run(open, key.position, name_of(ec).data(), time);
 }
 
-void job_scheduler::on_stop_answer(const target_id& target, const task_key& key, run_number run,
+bool job_scheduler::on_stop_answer(const target_id& target, const task_key& key, run_number run,
                                    const tl::expected<order_answer, order_errc>& answer, scheduler_time time)
 {
     // Whether the run has ended is read from the target's next report.
-    static_cast<void>(apply_answer(target, key, run, answer, time));
+    task_run* const stopped = apply_answer(target, key, run, answer, time);
+    if (stopped == nullptr)
+        return !answer;
+    const std::optional<order_errc> error = answer ? std::nullopt : std::optional{answer.error()};
+    return std::exchange(stopped->stop_error, error) != error;
 }
 
 void job_scheduler::on_other_instance(target_status& t, scheduler_time time)
@@ -132,16 +139,6 @@
     });
 }
 
-duration job_scheduler::observation_wait(const target_status& t) const
-{
-    duration wait = settings_.observation_wait;
-    if (t.suspected_runs > 0)
-        wait = std::min(wait, settings_.crashes.probation / 2);
-    if (!t.unknown_runs.empty())
-        wait = std::min(wait, settings_.stop_retry);
-    return wait;
-}
-
 lease_request job_scheduler::begin_observation(const target_id& target, timestamp now)
 {
     target_status& t = targets_.at(target);
@@ -158,7 +155,7 @@
     }
     if (t.synced && t.reachable && !(t.runs.empty() && t.unknown_runs.empty()) && t.unstored.empty() &&
         t.ordered_down_at == timestamp{} && !has_stopped_run(t))
-        request.wait = observation_wait(t);
+        request.wait = observation_wait(t, now);
     return request;
 }
 
@@ -352,14 +349,18 @@
         if (it->run->phase == run_phase::unconfirmed || it->run->phase == run_phase::ordered) {
             it->run->phase = run_phase::running;
             it->run->answered_at = sent_at;
+            it->run->confirmed_clock_ms = report.clock_ms;
             open->state->mark_started();
             after_change(*open, time);
         }
+        move_if_stalled(*open, r.task.position, report.clock_ms, time);
     }
     if (std::any_of(unknown_before.begin(), unknown_before.end(),
                     [&t](const auto& entry) { return !t.unknown_runs.contains(entry.first); }))
         plan_needed_.insert(t.info.service);
-    for_runs(t, [&](open_job& open, const task_position& p, const task_run& run) {
+    for_runs(t, [&](open_job& open, const task_position& p, task_run& run) {
+        if (stop_failed(run, settings_.stop_retry, time.now))
+            send_stop({open.state->id(), p}, run, time.now);
         if (!listed.contains({{open.state->id(), p}, run.number}))
             on_missing_run(open, p, sent_at, time);
     });
