Play targets whose capacity shrinks in the simulated fleet

Users require that no start brings a target over its capacity if the target doesn't guard it (rule LIMIT). Cause: the fake targets had a fixed capacity that nothing checked, and stops took no time. Change: the capacity of a host shrinks and grows while it runs, told up to 1.5 s later; half of the targets refuse what does not fit, the others start it; a stop takes 0.2 s. Reported: a start over the capacity of such a target, counting all that runs or is being stopped; a capacity that has shrunk counts 4.5 s later (the platform's contact-ms and one heartbeat), for starts in time by entry hosts without a fault for 3 s.

--- a/src/plugins/jobs/tests/fakes/fake_targets.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_targets.cpp
@@ -27,6 +27,8 @@
 // The platform's `drain-ms`.
 constexpr std::chrono::milliseconds drain_time{2000};
 constexpr std::chrono::milliseconds time_until_next_target{2000};
+// The platform's `heartbeat-ms`.
+constexpr std::chrono::milliseconds heartbeat_interval{1500};
 // Largest number of failed runs of a task; the queue of the simulation allows as many.
 constexpr int max_attempts = 3;
 
@@ -60,6 +62,7 @@
     if (kind == restart_kind::new_address)
         t.info.endpoint = {"10.0.0.1", ++last_port_};
     t.info.state = target_state::ready;
+    t.info.capacity = t.capacity;
     t.draining_since = {};
     t.up = true;
     t.token = 0;
@@ -75,7 +78,7 @@
     target& t = hosts_[host];
     t.info.host = host;
     t.info.service = service;
-    t.info.capacity = {8'000, 32'768, 0, 0};
+    t.capacity = {8'000, 32'768, 0, 0};
     start_incarnation(t, restart_kind::new_address);
 }
 
@@ -125,6 +128,14 @@
     });
 }
 
+void fake_fleet::set_capacity(const std::string& host, const resources& capacity, duration told_after)
+{
+    target* t = find(host);
+    t->former_capacities.emplace_back(loop_.time().now(), t->capacity);
+    t->capacity = capacity;
+    loop_.after(told_after, [this, host] { find(host)->info.capacity = find(host)->capacity; });
+}
+
 void fake_fleet::end(target& t, const task_key& task, run_end how)
 {
     const auto it = t.running.find(task);
@@ -163,6 +174,8 @@
         if (other.up && other.running.contains(order.task) && &other != &t)
             violations.push_back("two runs at a time: " + to_string(order.task));
     }
+    if (check_capacity)
+        check_capacity_of(t, order, in_time);
     run r;
     r.number = order.run;
     const std::optional<duration> length = run_time(order.task);
@@ -175,6 +188,28 @@
         begin_deadly(t, order.task, in_time);
 }
 
+resources fake_fleet::use_with_one_more(const target& t) const
+{
+    resources use = task_need;
+    for (std::size_t i = 0; i < t.running.size(); ++i)
+        use += task_need;
+    return use;
+}
+
+void fake_fleet::check_capacity_of(const target& t, const start_order& order, bool in_time)
+{
+    // A capacity that has shrunk counts from the time by which senders in touch know of it.
+    const timestamp known = loop_.time().now() - contact_time - heartbeat_interval;
+    const resources use = use_with_one_more(t);
+    const bool fits =
+        use.fits_in(t.capacity) ||
+        std::any_of(t.former_capacities.begin(), t.former_capacities.end(), [&](const auto& it) {
+            return use.fits_in(it.second) && (!in_time || it.first >= known);
+        });
+    if (!fits)
+        violations.push_back("started over the capacity of " + t.info.host + ": " + to_string(order.task));
+}
+
 void fake_fleet::check_cancelled_runs(target& t)
 {
     const timestamp now = loop_.time().now();
@@ -257,8 +292,11 @@
                 const auto closed = t.closed.find(order.task);
                 if (closed != t.closed.end() && order.run <= closed->second)
                     return tl::unexpected{order_errc::superseded};
-                if (!t.running.contains(order.task))
-                    begin(t, order, sender_in_touch && !late);
+                if (t.running.contains(order.task))
+                    return order_answer{clock_ms()};
+                if (check_capacity && t.guards_capacity && !use_with_one_more(t).fits_in(t.capacity))
+                    return tl::unexpected{order_errc::no_capacity};
+                begin(t, order, sender_in_touch && !late);
                 return order_answer{clock_ms()};
             });
 }
@@ -273,8 +311,12 @@
                 return tl::unexpected{order_errc::fenced};
             t.token = token;
             const auto it = t.running.find(task);
-            if (it != t.running.end() && it->second.number <= number)
-                end(t, task, run_end::stopped);
+            if (it != t.running.end() && it->second.number <= number) {
+                if (stop_time == duration{0})
+                    end(t, task, run_end::stopped);
+                else if (it->second.stopped_at == timestamp{})
+                    it->second.stopped_at = loop_.time().now() + stop_time;
+            }
             t.closed[task] = std::max(t.closed[task], number);
             return order_answer{clock_ms()};
         },
@@ -363,6 +405,8 @@
         for (const auto& [task, r] : present) {
             if (now >= t.lease_until)
                 end(t, task, run_end::lease_expired);
+            else if (r.stopped_at != timestamp{} && now >= r.stopped_at)
+                end(t, task, run_end::stopped);
             else if (!r.permanent && now >= r.ends)
                 end(t, task, outcome ? outcome(task) : run_end::done);
         }
--- a/src/plugins/jobs/tests/fakes/fake_targets.h
+++ b/src/plugins/jobs/tests/fakes/fake_targets.h
@@ -35,12 +35,16 @@
         /// When the time within which a cancellation must take effect begins at the earliest.
         timestamp cancellable_from;
         bool cancelled_too_late = false; ///< Whether a violation has been recorded for it.
+        timestamp stopped_at;            ///< When a stop will have ended it; the epoch without a stop.
     };
     struct target {
         target_info info;
         bool up = true;
         bool cut = false; ///< Whether orders do not reach the target.
         timestamp last_cut;
+        resources capacity;           ///< What it has; `info` may still tell a former one.
+        bool guards_capacity = false; ///< Whether it refuses tasks that exceed its free capacity.
+        std::vector<std::pair<timestamp, resources>> former_capacities; ///< With the ends of their times.
         timestamp draining_since; ///< The epoch if the target is not draining.
         fencing_token token = 0;
         timestamp lease_until;
@@ -59,6 +63,11 @@
     double lost_answers = 0.0;
     /// Returns the run time of a task, or std::nullopt if it runs until it is stopped.
     std::function<std::optional<duration>(const task_key&)> run_time;
+    resources task_need{1'500, 1'024, 0, 0}; ///< Share of its target's capacity that each task uses.
+    /// Whether starts that exceed a target's capacity are refused by it or recorded as violations.
+    bool check_capacity = false;
+    /// Time that a stop takes; meanwhile the run still uses capacity.
+    duration stop_time{0};
     /// Returns how a run of a task ends that is not stopped; null if all are done.
     std::function<run_end(const task_key&)> outcome;
     /// Returns whether a task crashes each target that starts it; null if none does.
@@ -76,6 +85,9 @@
     void crash_for(const std::string& host, restart_kind kind, duration delay);
     /// Reports the host's target as draining. It leaves after `time`, and the next one joins 2 s later.
     void drain(const std::string& host, duration time, restart_kind kind);
+    void set_guard(const std::string& host, bool guards) { find(host)->guards_capacity = guards; }
+    /// Changes the capacity of the host, which its target tells `told_after` later.
+    void set_capacity(const std::string& host, const resources& capacity, duration told_after);
     void set_cut(const std::string& host, bool cut) { find(host)->cut = cut; }
 
     /// `sender_in_touch` tells whether the sender has had no fault for a while, so that bounds hold for it.
@@ -136,6 +148,9 @@
     void begin(target& t, const start_order& order, bool in_time);
     /// Records violations for runs of jobs that were cancelled long ago.
     void check_cancelled_runs(target& t);
+    /// Returns the capacity that the target would need to run one more task.
+    [[nodiscard]] resources use_with_one_more(const target& t) const;
+    void check_capacity_of(const target& t, const start_order& order, bool in_time);
     void begin_deadly(const target& t, const task_key& task, bool in_time);
     void start_incarnation(target& t, restart_kind kind);
     /// Calls `effect(target, late)` when the order arrives, and `done` with its result. Calls `on_late` at
--- a/src/plugins/jobs/tests/fleet_simulation.cpp
+++ b/src/plugins/jobs/tests/fleet_simulation.cpp
@@ -147,7 +147,7 @@
     job_spec spec;
     step_spec step;
     step.tasks = tasks;
-    step.need = {1500, 1024, 0, 0};
+    step.need = fleet.task_need;
     step.estimate = 1s;
     step.permanent = permanent;
     step.max_unavailable = permanent ? 1 : 0;
--- a/src/plugins/jobs/tests/tst_job_faults.cpp
+++ b/src/plugins/jobs/tests/tst_job_faults.cpp
@@ -16,6 +16,8 @@
     bool failing_tasks = false;
     bool draining_targets = false;
     bool permanent_tasks = false;
+    /// Half of the targets don't guard their capacity, which shrinks and grows; stops take time.
+    bool capacities = false;
     bool cancellations = false; ///< Also entry hosts that handle answers or changes late.
 };
 
@@ -30,6 +32,12 @@
         sim_.fleet.restart_delay = random_.chance(0.3) ? 6s : 3s;
         if (switches_.deadly_tasks)
             sim_.fleet.deadly = is_deadly;
+        if (switches_.capacities) {
+            sim_.fleet.check_capacity = true;
+            sim_.fleet.stop_time = 200ms;
+            for (int i = 3; i < 6; ++i)
+                sim_.fleet.set_guard("h" + std::to_string(i), true);
+        }
         sim_.fleet.run_time = [this](const task_key& key) { return run_time(key); };
         sim_.fleet.outcome = [this](const task_key& key) { return outcome(key); };
     }
@@ -44,6 +52,8 @@
             disturb();
             if (switches_.cancellations)
                 cancel_jobs();
+            if (switches_.capacities && random_.chance(0.4))
+                change_capacity();
             sim_.run_for(500ms);
             repair_some();
         }
@@ -121,6 +131,12 @@
             late.set_delays(std::chrono::milliseconds{random_.below(1500)},
                             std::chrono::milliseconds{random_.below(8000)});
     }
+    void change_capacity()
+    {
+        const resources capacity{static_cast<std::int64_t>(random_.below(8'001)), 32'768, 0, 0};
+        sim_.fleet.set_capacity("h" + std::to_string(random_.below(6)), capacity,
+                                std::chrono::milliseconds{random_.below(1500)});
+    }
     void disturb()
     {
         entry_host& entry = *sim_.hosts[random_.below(sim_.hosts.size())];
@@ -183,8 +199,10 @@
             if (!h->node)
                 h->start(sim_.config, sim_.waves);
         }
-        for (const host_info& h : sim_.fleet.hosts())
+        for (const host_info& h : sim_.fleet.hosts()) {
             sim_.fleet.set_cut(h.id, false);
+            sim_.fleet.set_capacity(h.id, {8'000, 32'768, 0, 0}, 1s);
+        }
     }
     void check()
     {
@@ -255,6 +273,15 @@
     CHECK(sim.fleet.violations.empty());
 }
 
+/// Submits more work than the fleet's targets have capacity for, all of which start what they are told to.
+void fill_unguarded_targets(fleet_simulation& sim, int jobs)
+{
+    sim.fleet.check_capacity = true;
+    sim.fleet.stop_time = 200ms;
+    for (int i = 0; i < jobs; ++i)
+        sim.submit("j" + std::to_string(i), 6);
+}
+
 } // namespace
 
 // Guards against a task that is started without end although it crashes each target.
@@ -545,3 +572,57 @@
 {
     play_seeds({.failing_tasks = true, .draining_targets = true, .permanent_tasks = true}, 4);
 }
+
+// Guards against starts by the capacity that a target had before it shrank, also by the next leader.
+TEST_CASE("no start brings a target over the capacity to which it has shrunk")
+{
+    const bool leader_lost = GENERATE(false, true);
+    CAPTURE(leader_lost);
+    fleet_simulation sim{71};
+    prepare(sim);
+    fill_unguarded_targets(sim, 60);
+    sim.run_for(1s);
+    CHECK(sim.fleet.running_on("h0").size() == 5);
+    for (const char* host : {"h0", "h1", "h2"})
+        sim.fleet.set_capacity(host, {3'100, 32'768, 0, 0}, 1500ms);
+    entry_host* leader = sim.leader();
+    REQUIRE(leader != nullptr);
+    if (leader_lost)
+        leader->kill();
+    sim.run_for(6s);
+    CHECK(sim.fleet.running_on("h0").size() == 2);
+    for (const char* host : {"h0", "h1", "h2"})
+        sim.fleet.set_capacity(host, {8'000, 32'768, 0, 0}, 1500ms);
+    sim.run_for(2500ms);
+    CHECK(sim.fleet.running_on("h0").size() > 2);
+    sim.run_for(20s);
+    for (const std::string& id : sim.accepted)
+        CHECK(sim.completed(id));
+    CHECK(sim.fleet.violations.empty());
+}
+
+// Guards against a start in the place of a run that has been told to stop and still works.
+TEST_CASE("a run that is being stopped counts until its target lists its end")
+{
+    fleet_simulation sim{72};
+    prepare(sim);
+    sim.fleet.run_time = [](const task_key& key) {
+        return duration{key.job.str() == "cancelled" ? 20s : 800ms};
+    };
+    sim.submit("cancelled", 30);
+    sim.run_for(500ms);
+    REQUIRE(sim.fleet.running(job_id{"cancelled"}) == 30);
+    fill_unguarded_targets(sim, 10);
+    sim.fleet.lost_answers = 0.2;
+    sim.cancel("cancelled", *sim.hosts[1]);
+    sim.run_for(20s);
+    CHECK(sim.stored_state("cancelled") == job_state::cancelled);
+    for (int i = 0; i < 10; ++i)
+        CHECK(sim.completed("j" + std::to_string(i)));
+    CHECK(sim.fleet.violations.empty());
+}
+
+TEST_CASE("under random faults no target that does not guard its capacity is overloaded", "[random]")
+{
+    play_seeds({.draining_targets = true, .capacities = true, .cancellations = true}, 4);
+}
