Keep the random run of deadly tasks out of the selection by [random]

Cause: a selection by tag also runs hidden cases, so that tst_jobs "[random]" would have run a case that is known to fail (KNOWN-RED.txt). Change: the case has the tags of a known failing case only.

--- a/src/plugins/jobs/tests/tst_job_faults.cpp
+++ b/src/plugins/jobs/tests/tst_job_faults.cpp
@@ -383,7 +383,7 @@
 }
 
 TEST_CASE("under random faults a task that crashes its targets is given up and no other job fails",
-          "[.][known-red][random]")
+          "[.][known-red]")
 {
     play_seeds({.deadly_tasks = true}, 5);
 }
