Correct what the review of the crash attribution found

Causes: a crash under a start without an answer was not counted when the target came back under its id; a start that another target refused counted as a crash under its task; a host that crashed under a lone task stayed trusted and, being empty, was chosen again; a target was kept for a task that it could not take (limit of tasks per target, team's cap, another service after a change of the configuration); a permanent task waited 8 s; each suspect searched all targets in each pass. Change: starts in flight are suspects too; a start that reached another target is discarded before the loss is handled; each crash makes its host distrusted; kept targets are checked in each pass; 3 s for permanent tasks; a failed search for a suspect's need is remembered for the pass. Not changed: a task that crashes its target later than 0.5 s after its start is not recognised.

--- a/src/plugins/jobs/crash_history.h
+++ b/src/plugins/jobs/crash_history.h
@@ -17,11 +17,13 @@
     /// given up even if the crashes can't be attributed to it, provided that `confirmed_minimum` are crashes.
     std::uint32_t start_limit = 4;
     std::uint32_t confirmed_minimum = 2;
-    /// Time after an unattributed crash of a host for which its further crashes are attributed to the host.
+    /// Time after a crash of a host for which its further crashes are attributed to the host.
     duration host_distrust{std::chrono::seconds{20}};
     /// Longest time for which an isolated task waits until it is known whether the target of its last run has
     /// crashed.
     duration resolution_wait{std::chrono::seconds{8}};
+    /// The same for a permanent task, which must not be away for long.
+    duration permanent_resolution_wait{std::chrono::seconds{3}};
     /// Time for which a lost target may still turn out to have crashed.
     duration resolution_time{std::chrono::seconds{60}};
     /// Fraction of a pool's targets, at least one of them, that may be kept free for isolated runs.
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -359,9 +359,14 @@
     [[nodiscard]] timestamp lease_end(timestamp granted_at) const;
 
     // scheduler_crashes.cpp
-    /// Discards these runs of a target that has ended. Unless its end was expected, it is a crash.
-    void lose_runs(target_status& t, const std::vector<task_key>& keys, const char* reason, bool attributable,
-                   scheduler_time time);
+    struct target_loss {
+        std::vector<task_key> lost;      ///< Tasks whose runs have ended.
+        std::vector<task_key> in_flight; ///< Tasks whose starts may have been carried out, or may be later.
+        const char* reason = "";
+        bool attributable = false; ///< Whether the crash can be attributed to its only suspect.
+    };
+    /// Discards the lost runs of a target that has ended. Unless its end was expected, it is a crash.
+    void lose_runs(target_status& t, const target_loss& loss, scheduler_time time);
     /// Handles that runs of a restored job belong to lives of known targets that have ended.
     void lose_restored_runs(const job_id& id, scheduler_time time);
     /// Handles that restored runs belong to a life of the target that has ended.
@@ -393,6 +398,8 @@
     void start_probation(const task_run& run);
     void end_probation(const task_run& run);
     [[nodiscard]] bool awaits_isolation(const task_key& key);
+    /// Whether the target is still kept for the task and may still be used for it.
+    [[nodiscard]] bool keeps_place(const target_status& t, const task_key& key, timestamp now);
     /// Frees the targets that are no longer needed for isolated runs.
     void update_isolation(scheduler_time time);
     void plan_isolated_tasks(const service_id& service, const std::vector<target_status*>& pool,
@@ -429,6 +436,9 @@
     /// that run has ended.
     task_run* apply_answer(const target_id& target, const task_key& key, run_number run,
                            const tl::expected<order_answer, order_errc>& answer, scheduler_time time);
+    /// Discards a run whose start has reached another target, so that it never ran.
+    void discard_unreceived_start(const target_id& target, const task_key& key, run_number run,
+                                  scheduler_time time);
     void on_end(target_status& t, const listed_end& end, scheduler_time time);
     void on_failed_run(target_status& t, open_job& open, const task_position& p, scheduler_time time);
     void reconcile_runs(target_status& t, const target_report& report, timestamp sent_at,
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -29,16 +29,8 @@
 
 bool may_run(const target_status& t, const placement_request& request, timestamp now)
 {
-    const step_spec& step = *request.step;
-    if (!has_capacity(t, step) || !accepts_work(t, now) || !has_label(t, step.required_label) ||
-        !separated(t, request))
-        return false;
-    if (step.max_per_target != 0 && request.step_runs != nullptr) {
-        const auto it = request.step_runs->find(t.info.id);
-        if (it != request.step_runs->end() && it->second >= step.max_per_target)
-            return false;
-    }
-    return true;
+    return accepts_work(t, now) && has_label(t, request.step->required_label) && has_place(t, request) &&
+           separated(t, request);
 }
 
 double cost(const target_status& t, const placement_request& request)
@@ -82,6 +74,17 @@
     return counted_need(step).fits_in(t.free());
 }
 
+bool has_place(const target_status& t, const placement_request& request)
+{
+    const step_spec& step = *request.step;
+    if (!has_capacity(t, step))
+        return false;
+    if (step.max_per_target == 0 || request.step_runs == nullptr)
+        return true;
+    const auto it = request.step_runs->find(t.info.id);
+    return it == request.step_runs->end() || it->second < step.max_per_target;
+}
+
 target_status* choose_target(const placement_request& request, const std::vector<target_status*>& pool,
                              timestamp now)
 {
--- a/src/plugins/jobs/placement.h
+++ b/src/plugins/jobs/placement.h
@@ -25,6 +25,9 @@
 /// Whether the target fits the task apart from what it runs at present.
 [[nodiscard]] bool could_run(const target_status& t, const placement_request& request);
 
+/// Whether the target has free capacity for the task, and fewer of its step's tasks than allowed.
+[[nodiscard]] bool has_place(const target_status& t, const placement_request& request);
+
 /// Whether the target has free capacity for one more task of the step. Checks no other condition.
 [[nodiscard]] bool has_capacity(const target_status& t, const step_spec& step);
 
--- a/src/plugins/jobs/scheduler_crashes.cpp
+++ b/src/plugins/jobs/scheduler_crashes.cpp
@@ -22,17 +22,18 @@
 
 } // namespace
 
-void job_scheduler::lose_runs(target_status& t, const std::vector<task_key>& keys, const char* reason,
-                              bool attributable, scheduler_time time)
+void job_scheduler::lose_runs(target_status& t, const target_loss& loss, scheduler_time time)
 {
+    std::vector<task_key> concerned = loss.lost;
+    concerned.insert(concerned.end(), loss.in_flight.begin(), loss.in_flight.end());
     std::vector<lost_run> suspects;
-    if (expected_to_stay(t) && !keys.empty()) {
-        suspects = runs_on_probation(keys);
-        record_crash(t.info.id, t.info.host, suspects, attributable, time);
+    if (expected_to_stay(t) && !concerned.empty()) {
+        suspects = runs_on_probation(concerned);
+        record_crash(t.info.id, t.info.host, suspects, loss.attributable, time);
     }
-    for (const task_key& key : keys) {
+    for (const task_key& key : loss.lost) {
         if (open_job* open = find_open(key.job))
-            discard_run(*open, key.position, reason, time);
+            discard_run(*open, key.position, loss.reason, time);
     }
     give_up_jobs(suspects, time);
 }
@@ -44,7 +45,7 @@
         if (run.incarnation < t.info.incarnation)
             lost.push_back({open.state->id(), p});
     });
-    lose_runs(t, lost, "target restarted", false, time);
+    lose_runs(t, {lost, {}, "target restarted", false}, time);
 }
 
 void job_scheduler::lose_restored_runs(const job_id& id, scheduler_time time)
@@ -56,7 +57,7 @@
             lost[t->info.id].push_back({id, p});
     });
     for (const auto& [target, keys] : lost)
-        lose_runs(targets_.at(target), keys, "target restarted", false, time);
+        lose_runs(targets_.at(target), {keys, {}, "target restarted", false}, time);
 }
 
 std::vector<job_scheduler::lost_run> job_scheduler::runs_on_probation(const std::vector<task_key>& keys)
@@ -82,7 +83,7 @@
     const bool attributed = attributable && suspects.size() == 1 && !distrusted;
     log_event(scheduler_event::target_crashed, {}, nullptr, 0, target,
               std::to_string(suspects.size()) + (attributed ? " suspect, attributed" : " suspects"));
-    if (!attributed && !host.empty())
+    if (!host.empty())
         crashed_hosts_[host] = time.now + settings_.crashes.host_distrust;
     for (const lost_run& it : suspects) {
         open_job& open = *find_open(it.task.job);
@@ -125,7 +126,9 @@
     ++t.crashes.unresolved;
     on_history_changed(open, lost, target);
     if (needs_isolation(t.crashes))
-        t.not_before = time.now + settings_.crashes.resolution_wait;
+        t.not_before = time.now + (open.state->step(lost.task.position.step).permanent
+                                       ? settings_.crashes.permanent_resolution_wait
+                                       : settings_.crashes.resolution_wait);
 }
 
 void job_scheduler::lose_silent_target(target_status& t, scheduler_time time)
@@ -239,13 +242,21 @@
     return !t.done && needs_isolation(t.crashes);
 }
 
+bool job_scheduler::keeps_place(const target_status& t, const task_key& key, timestamp now)
+{
+    const open_job& open = *find_open(key.job);
+    if (!t.kept_for_isolation || t.info.service != open.service)
+        return false;
+    return t.runs.contains(key) ||
+           (accepts_work(t, now) && within_cap(open, open.state->step(key.position.step)));
+}
+
 void job_scheduler::update_isolation(scheduler_time time)
 {
     std::erase_if(isolated_tasks_, [this](const task_key& key) { return !awaits_isolation(key); });
     std::erase_if(isolation_targets_, [this, &time](const auto& entry) {
         target_status* t = find_target(entry.second);
-        if (t != nullptr && isolated_tasks_.contains(entry.first) &&
-            (t->runs.contains(entry.first) || accepts_work(*t, time.now)))
+        if (t != nullptr && isolated_tasks_.contains(entry.first) && keeps_place(*t, entry.first, time.now))
             return false;
         if (t != nullptr) {
             t->kept_for_isolation = false;
@@ -280,9 +291,8 @@
     const auto kept = isolation_targets_.find(key);
     if (kept != isolation_targets_.end()) {
         target_status* t = find_target(kept->second);
-        target_status* free =
-            has_capacity(*t, *request.step) ? nullptr : best_for_isolation(request, pool, time.now);
-        if (free == nullptr || !has_capacity(*free, *request.step))
+        target_status* free = has_place(*t, request) ? nullptr : best_for_isolation(request, pool, time.now);
+        if (free == nullptr || !has_place(*free, request))
             return t;
         t->kept_for_isolation = false;
         free->kept_for_isolation = true;
@@ -308,8 +318,8 @@
     // A crash of a host that has crashed before would tell nothing about the task.
     const auto cost = [&](const target_status* t) {
         const auto crashed = crashed_hosts_.find(t->info.host);
-        return std::tuple{crashed != crashed_hosts_.end() && now < crashed->second,
-                          !has_capacity(*t, *request.step), t->runs_on_probation, t->runs.size()};
+        return std::tuple{crashed != crashed_hosts_.end() && now < crashed->second, !has_place(*t, request),
+                          t->runs_on_probation, t->runs.size()};
     };
     target_status* best = nullptr;
     for (target_status* t : pool) {
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -41,9 +41,19 @@
         needs_.push_back(need);
     }
 
+    /// The same for tasks that may not run beside other suspects of crashes.
+    [[nodiscard]] bool covers_suspected(const resources& need) const
+    {
+        return std::any_of(suspected_needs_.begin(), suspected_needs_.end(),
+                           [&need](const resources& known) { return known.fits_in(need); });
+    }
+
+    void add_suspected(const resources& need) { suspected_needs_.push_back(need); }
+
 private:
     resources most_free_;
     std::vector<resources> needs_; ///< No need in it fits in another one.
+    std::vector<resources> suspected_needs_;
 };
 
 void job_scheduler::plan(scheduler_time time)
@@ -122,12 +132,16 @@
         const task& t = open.state->at(p);
         if (t.done || t.run || time.now < t.not_before || needs_isolation(t.crashes))
             continue;
+        if (!t.crashes.empty() && unsatisfiable.covers_suspected(need))
+            continue;
         if (!within_cap(open, step))
             return;
         target_status* target = choose_target(placement_of(open, p), pool, time.now);
         if (target == nullptr) {
-            if (!t.crashes.empty())
+            if (!t.crashes.empty()) {
+                unsatisfiable.add_suspected(need);
                 continue; // Other tasks have fewer conditions.
+            }
             // If the step has no other conditions, the only cause is a lack of free capacity.
             if (step.required_label.empty() && step.max_per_target == 0)
                 unsatisfiable.add(need);
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -57,6 +57,8 @@
 void job_scheduler::on_start_answer(const target_id& target, const task_key& key, run_number run,
                                     const tl::expected<order_answer, order_errc>& answer, scheduler_time time)
 {
+    if (!answer && answer.error() == order_errc::other_instance)
+        discard_unreceived_start(target, key, run, time);
     task_run* ordered = apply_answer(target, key, run, answer, time);
     if (ordered == nullptr)
         return;
@@ -96,6 +98,18 @@
     discard_run(open, key.position, name_of(ec).data(), time);
 }
 
+void job_scheduler::discard_unreceived_start(const target_id& target, const task_key& key, run_number run,
+                                             scheduler_time time)
+{
+    open_job* open = find_open(key.job);
+    if (open == nullptr || !open->state->contains(key.position))
+        return;
+    const std::optional<task_run>& current = open->state->at(key.position).run;
+    if (current && current->number == run && current->target == target &&
+        current->phase == run_phase::ordered)
+        discard_run(*open, key.position, name_of(order_errc::other_instance).data(), time);
+}
+
 bool job_scheduler::on_stop_answer(const target_id& target, const task_key& key, run_number run,
                                    const tl::expected<order_answer, order_errc>& answer, scheduler_time time)
 {
@@ -112,7 +126,7 @@
     unlist_target(t.info.id, time);
     t.reachable = false;
     resolve_lost_target(t.info.id, std::nullopt, time);
-    lose_runs(t, {t.runs.begin(), t.runs.end()}, "address belongs to another target", true, time);
+    lose_runs(t, {{t.runs.begin(), t.runs.end()}, {}, "address belongs to another target", true}, time);
 }
 
 std::vector<target_id> job_scheduler::due_observations(timestamp now) const
@@ -212,6 +226,7 @@
     t.unstored.clear();
     resolve_lost_target(t.info.id, incarnation, time);
     std::vector<task_key> lost;
+    std::vector<task_key> in_flight;
     for_runs(t, [&](const open_job& open, const task_position& p, task_run& run) {
         if (run.incarnation == incarnation)
             return;
@@ -220,11 +235,12 @@
             run.incarnation = incarnation;
             if (run.phase == run_phase::ordered)
                 run.phase = run_phase::unconfirmed;
+            in_flight.push_back({open.state->id(), p});
             return;
         }
         lost.push_back({open.state->id(), p});
     });
-    lose_runs(t, lost, "target restarted", true, time);
+    lose_runs(t, {lost, in_flight, "target restarted", true}, time);
 }
 
 void job_scheduler::on_no_report(target_status& t, order_errc ec, scheduler_time time)
--- a/src/plugins/jobs/tests/tst_target_crashes.cpp
+++ b/src/plugins/jobs/tests/tst_target_crashes.cpp
@@ -316,3 +316,42 @@
     CHECK(exceeds_limit({2, 0, 2}, settings));
     CHECK_FALSE(exceeds_limit({1, 0, 9}, settings));
 }
+
+TEST_CASE("a crash under a start without an answer is counted when the target returns under its id")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a"});
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    f.scheduler.on_start_answer(target_id{"a"}, starts[0].order.task, 1,
+                                tl::unexpected{order_errc::no_answer}, f.now());
+    restart(f, "a", 2);
+    CHECK(history_of(f, "j") == crash_history{1, 1, 0});
+}
+
+TEST_CASE("a start that reaches another target accuses no task")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a"});
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    f.scheduler.on_start_answer(target_id{"a"}, starts[0].order.task, 1,
+                                tl::unexpected{order_errc::other_instance}, f.now());
+    CHECK(f.scheduler.find_job(job_id{"j"})->active_runs() == 0);
+    CHECK(history_of(f, "j").empty());
+}
+
+TEST_CASE("repeated crashes of one host under one task are not attributed to the task")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a"});
+    f.add_job("j", 1);
+    for (target_incarnation born = 2; born < 5; ++born) {
+        REQUIRE(start_all(f).size() == 1);
+        restart(f, "a", born);
+        CHECK(history_of(f, "j").attributed == 1);
+    }
+    CHECK_FALSE(is_final(f.scheduler.find_job(job_id{"j"})->state()));
+}
