Take no host with tasks down on an old view

Cause: starts are refused on an old view, orders for hosts were not. A leader that is seconds late judged by old reports and registrations how many tasks of a step are unavailable, and ordered a host down or moved tasks off it. Evidence: the new case fails without the change: with a view of the targets that is 2 s old, a permanent task is taken off its host. Change: a host with tasks is taken down only while the views are recent enough for starts; the order waits otherwise.

--- a/src/plugins/jobs/host_waves.cpp
+++ b/src/plugins/jobs/host_waves.cpp
@@ -88,6 +88,9 @@
     if (pending.order.kind == host_order_kind::move)
         return false;
     const timestamp now = time_.now();
+    // What else is unavailable can't be told from an old view.
+    if (!scheduler_.may_start(now))
+        return false;
     const scheduler_time at{now, time_.unix_ms()};
     if (!scheduler_.only_permanent_runs(target)) {
         if (now - pending.chosen_at > settings_.drain_timeout)
--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -226,6 +226,31 @@
     CHECK(sim.fleet.violations.empty());
 }
 
+TEST_CASE("a leader whose view of the targets is old takes no host with tasks down for maintenance")
+{
+    fleet_simulation sim{33};
+    sim.run_for(1s);
+    sim.submit("serving", 3, true);
+    sim.run_for(4s);
+    entry_host* leader = sim.leader();
+    REQUIRE(leader != nullptr);
+    leader->directory().frozen = true;
+    sim.run_for(2s);
+    sim.waves["1"] = wave_of_all();
+    for (const std::unique_ptr<entry_host>& h : sim.hosts)
+        h->node->set_waves(sim.waves);
+    sim.run_for(6s);
+    CHECK(sim.leader() == leader);
+    CHECK(sim.fleet.running(job_id{"serving"}) == 3);
+    const std::size_t before = sim.fleet.maintained.size();
+    CHECK(before < 6);
+
+    leader->directory().frozen = false;
+    sim.run_for(26s);
+    CHECK(sim.fleet.maintained.size() == 6);
+    CHECK(sim.fleet.violations.empty());
+}
+
 TEST_CASE("a leader that does not hear of the inbox starts no run and tells no number of waiting jobs")
 {
     // Guards against starts of cancelled jobs, and against a number that leaves accepted jobs out.
