Keep long running tasks out of suspicion at a hand-over, and let isolated tasks take turns

Change: that a run has passed its probation is stored, for standing tasks at once; a crash of a restored run is not attributed; a kept target that has no place for its task for 1 s is given up for 0.5 s. Measured: two new cases; tst_jobs passes (125 cases).

--- a/src/plugins/jobs/crash_history.h
+++ b/src/plugins/jobs/crash_history.h
@@ -26,6 +26,9 @@
     duration permanent_resolution_wait{std::chrono::seconds{3}};
     /// Time for which a lost target may still turn out to have crashed.
     duration resolution_time{std::chrono::seconds{60}};
+    /// Time after which a target that is kept for a task, but has no place for it, is given up for a while.
+    duration isolation_wait{std::chrono::seconds{1}};
+    duration isolation_pause{std::chrono::milliseconds{500}};
     /// Fraction of a pool's targets, at least one of them, that may be kept free for isolated runs.
     double isolation_share = 0.25;
 };
--- a/src/plugins/jobs/job.h
+++ b/src/plugins/jobs/job.h
@@ -36,7 +36,8 @@
     target_incarnation incarnation = 0;
     run_phase phase = run_phase::planned;
     std::uint64_t planned_change = 0; ///< Number of the job's change that must be stored before the start.
-    timestamp ordered_at;             ///< When the run was planned, or the latest start or stop was sent.
+    timestamp ordered_at;             ///< When the run was planned, or the latest start or stop was sent; the
+                                      ///< epoch if an earlier leader has started it.
     timestamp answered_at; ///< When the target confirmed the latest order; the epoch if it has not.
     std::int64_t confirmed_clock_ms = 0;  ///< The target's clock when it confirmed the start.
     int unanswered_stops = 0;             ///< Stops sent since the target confirmed an order.
--- a/src/plugins/jobs/job_codec.cpp
+++ b/src/plugins/jobs/job_codec.cpp
@@ -76,6 +76,7 @@
         row.push_back(t.run->number);
         row.push_back(t.run->target.str());
         row.push_back(t.run->incarnation);
+        row.push_back(t.run->on_probation ? 0 : 1);
     }
     return row;
 }
@@ -197,6 +198,8 @@
                 r.target = target_id{row.at(9).get<std::string>()};
                 r.incarnation = row.at(10).get<target_incarnation>();
                 r.phase = run_phase::unconfirmed;
+                r.on_probation =
+                    row.size() == task_columns_with_run || row.at(task_columns_with_run).get<int>() == 0;
                 t.run = std::move(r);
             }
         }
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -468,7 +468,7 @@
         // The run was restored from the store, and its target has not been listed since.
         if (!t.run->on_known_target) {
             if (time.now > created_at_ + settings_.longest_lease + settings_.lease_margin * 2) {
-                const lost_run lost{{open.state->id(), p}, t.run->number};
+                const lost_run lost{{open.state->id(), p}, t.run->number, true};
                 note_unresolved(open, lost, t.run->target, time);
                 discard_run(open, p, "target unknown", time);
                 give_up_jobs({lost}, time);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -249,6 +249,11 @@
     struct lost_run {
         task_key task;
         run_number run = 0;
+        bool restored = false; ///< Whether an earlier leader has started it, at an unknown time.
+    };
+    struct kept_target {
+        target_id target;
+        timestamp since;
     };
     /// A target whose lease ran out in silence. It has crashed, or it may answer again.
     struct lost_target {
@@ -408,6 +413,8 @@
     [[nodiscard]] target_status* keep_target_for(const task_key& key, const placement_request& request,
                                                  const std::vector<target_status*>& pool,
                                                  scheduler_time time);
+    /// Gives up the target that is kept for the task, so that other isolated tasks get their turn.
+    void yield_target(const task_key& key, timestamp now);
     [[nodiscard]] target_status* best_for_isolation(const placement_request& request,
                                                     const std::vector<target_status*>& pool,
                                                     timestamp now) const;
@@ -480,7 +487,7 @@
     std::map<target_id, lost_target> lost_targets_;
     std::map<std::string, timestamp> crashed_hosts_; ///< Until when crashes are attributed to the host.
     std::set<task_key> isolated_tasks_;              ///< Tasks whose next run is to be isolated.
-    std::map<task_key, target_id> isolation_targets_;
+    std::map<task_key, kept_target> isolation_targets_;
     std::set<std::string> cordons_;
     std::set<std::string> maintained_soon_;
     std::vector<target_command> commands_;
--- a/src/plugins/jobs/scheduler_crashes.cpp
+++ b/src/plugins/jobs/scheduler_crashes.cpp
@@ -69,7 +69,7 @@
             continue;
         const std::optional<task_run>& run = open->state->at(key.position).run;
         if (run && run->on_probation && run->phase != run_phase::planned)
-            out.push_back({key, run->number});
+            out.push_back({key, run->number, run->ordered_at == timestamp{}});
     }
     return out;
 }
@@ -80,7 +80,7 @@
 {
     const auto earlier = crashed_hosts_.find(host);
     const bool distrusted = earlier != crashed_hosts_.end() && time.now < earlier->second;
-    const bool attributed = attributable && suspects.size() == 1 && !distrusted;
+    const bool attributed = attributable && suspects.size() == 1 && !suspects.front().restored && !distrusted;
     log_event(scheduler_event::target_crashed, {}, nullptr, 0, target,
               std::to_string(suspects.size()) + (attributed ? " suspect, attributed" : " suspects"));
     if (!host.empty())
@@ -147,7 +147,7 @@
                      runs_on_probation({t.runs.begin(), t.runs.end()})};
     for (const lost_run& it : lost.runs)
         note_unresolved(*find_open(it.task.job), it, t.info.id, time);
-    const std::vector<lost_run> runs = lost.runs;
+    std::vector<lost_run> runs = lost.runs;
     if (!runs.empty())
         lost_targets_[t.info.id] = std::move(lost);
     return runs;
@@ -201,6 +201,9 @@
     end_probation(*t.run);
     t.run->on_probation = false;
     t.passed_probation = t.run->number;
+    // The next leader must not suspect a run that has been at work for long.
+    if (open.state->step(p.step).permanent)
+        mark_changed(*open.state);
     clear_crash_history(open, t);
 }
 
@@ -255,7 +258,7 @@
 {
     std::erase_if(isolated_tasks_, [this](const task_key& key) { return !awaits_isolation(key); });
     std::erase_if(isolation_targets_, [this, &time](const auto& entry) {
-        target_status* t = find_target(entry.second);
+        target_status* t = find_target(entry.second.target);
         if (t != nullptr && isolated_tasks_.contains(entry.first) && keeps_place(*t, entry.first, time.now))
             return false;
         if (t != nullptr) {
@@ -280,8 +283,12 @@
         placement_request request = placement_of(open, key.position);
         request.isolated = true;
         target_status* target = keep_target_for(key, request, pool, time);
-        if (target != nullptr && choose_target(request, {target}, time.now) != nullptr)
+        if (target == nullptr)
+            continue;
+        if (choose_target(request, {target}, time.now) != nullptr)
             plan_task(open, key.position, *target, time);
+        else if (time.now - isolation_targets_.at(key).since > settings_.crashes.isolation_wait)
+            yield_target(key, time.now);
     }
 }
 
@@ -290,13 +297,13 @@
 {
     const auto kept = isolation_targets_.find(key);
     if (kept != isolation_targets_.end()) {
-        target_status* t = find_target(kept->second);
+        target_status* t = find_target(kept->second.target);
         target_status* free = has_place(*t, request) ? nullptr : best_for_isolation(request, pool, time.now);
         if (free == nullptr || !has_place(*free, request))
             return t;
         t->kept_for_isolation = false;
         free->kept_for_isolation = true;
-        kept->second = free->info.id;
+        kept->second.target = free->info.id;
         return free;
     }
     const auto in_use =
@@ -307,11 +314,19 @@
     target_status* best = best_for_isolation(request, pool, time.now);
     if (best != nullptr) {
         best->kept_for_isolation = true;
-        isolation_targets_[key] = best->info.id;
+        isolation_targets_[key] = {best->info.id, time.now};
     }
     return best;
 }
 
+void job_scheduler::yield_target(const task_key& key, timestamp now)
+{
+    const auto kept = isolation_targets_.find(key);
+    find_target(kept->second.target)->kept_for_isolation = false;
+    isolation_targets_.erase(kept);
+    find_open(key.job)->state->at(key.position).not_before = now + settings_.crashes.isolation_pause;
+}
+
 target_status* job_scheduler::best_for_isolation(const placement_request& request,
                                                  const std::vector<target_status*>& pool, timestamp now) const
 {
--- a/src/plugins/jobs/tests/tst_target_crashes.cpp
+++ b/src/plugins/jobs/tests/tst_target_crashes.cpp
@@ -355,3 +355,58 @@
     }
     CHECK_FALSE(is_final(f.scheduler.find_job(job_id{"j"})->state()));
 }
+
+TEST_CASE("a permanent task that was at work for long is no suspect after a change of leader")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a"});
+    const std::vector<start_command> starts =
+        f.run_job("j", 1, 2000, [](step_spec& s) { s.permanent = true; });
+    REQUIRE(starts.size() == 1);
+    f.scheduler.on_stored(f.scheduler.unstored(10), f.now());
+    pass_probation(f, target_id{"a"}, starts);
+    const std::vector<progress_write> stored = f.scheduler.unstored(10);
+    REQUIRE(stored.size() == 1);
+
+    scheduler_fixture next;
+    add_targets(next, {"a"});
+    job_record record = next.record_of("j", 1);
+    record.spec.steps.front().permanent = true;
+    REQUIRE(next.scheduler.restore_job(record, stored[0].text, next.now()));
+    crash(next, target_id{"a"});
+    CHECK(next.scheduler.find_job(job_id{"j"})->active_runs() == 0);
+    CHECK(history_of(next, "j").empty());
+}
+
+TEST_CASE("isolated tasks without a place do not keep others from starting")
+{
+    scheduler_fixture f;
+    const auto set_capacity = [&f](const std::string& name, std::int64_t milli_cpu) {
+        target_info info = f.info_of(name);
+        info.capacity.milli_cpu = milli_cpu;
+        f.scheduler.set_target(info, f.now());
+    };
+    for (const std::string name : {"e", "f"}) {
+        set_capacity(name, 31'000);
+        f.report(target_id{name}, {});
+        pass_probation(f, target_id{name}, f.run_job("filler-" + name, 1, 20'000));
+    }
+    add_targets(f, {"a", "b", "c"});
+    f.add_job("large", 1, 30'000);
+    const std::vector<start_command> large = start_all(f);
+    REQUIRE(large.size() == 1);
+    crash(f, large[0].target.id);
+    f.add_job("small", 1, 12'000);
+    const std::vector<start_command> both = start_all(f);
+    REQUIRE(both.size() == 2);
+    crash(f, both[0].target.id);
+    crash(f, both[1].target.id);
+    // Now both have run alone on a target that crashed, and the targets that are left fit only the small one.
+    set_capacity("e", 33'000);
+    set_capacity("f", 33'000);
+    std::vector<start_command> started;
+    for (int i = 0; i < 30 && started.empty(); ++i)
+        started = start_all(f);
+    REQUIRE(started.size() == 1);
+    CHECK(started[0].order.task.job == job_id{"small"});
+}
