Count the crash of a target that takes no new work

Of the conditions for that, only a cordon fits: a target that will be moved or maintained counted as expected to end, although no order had been sent to it. Change: only a target that drains, or to which an order has been sent, is expected to end. Evidence and measured: the new case fails without the change by its condition; tst_jobs passes (126 cases).

--- a/src/plugins/jobs/scheduler_crashes.cpp
+++ b/src/plugins/jobs/scheduler_crashes.cpp
@@ -10,8 +10,7 @@
 /// Whether the target was to stay, so that its end is a crash.
 bool expected_to_stay(const target_status& t)
 {
-    return t.info.state == target_state::ready && !t.leaving && !t.cordoned &&
-           t.ordered_down_at == timestamp{};
+    return t.info.state == target_state::ready && !t.leaving && t.ordered_down_at == timestamp{};
 }
 
 std::string to_text(const crash_history& h)
--- a/src/plugins/jobs/tests/tst_target_crashes.cpp
+++ b/src/plugins/jobs/tests/tst_target_crashes.cpp
@@ -415,3 +415,13 @@
     REQUIRE(started.size() == 1);
     CHECK(started[0].order.task.job == job_id{"small"});
 }
+
+TEST_CASE("a crash of a target that takes no new work, but was not ordered down, is counted")
+{
+    scheduler_fixture f;
+    add_targets(f, {"a"});
+    REQUIRE(f.run_job("j", 1).size() == 1);
+    f.scheduler.set_cordons({"host-a"}, {});
+    crash(f, target_id{"a"});
+    CHECK(history_of(f, "j") == crash_history{1, 1, 0});
+}
