review: each change of leader begins the wait for lost workers anew

A leader waits until the leases of lost workers must be over before it starts their tasks elsewhere. The next leader waits for the whole time again, counted from its own start, so two restarts in turn leave tasks that last without a run for 12.7 s while there is room for them.

--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -22,6 +22,7 @@
 #include <future>
 #include <memory>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -38,6 +39,7 @@
 
 inline constexpr milliseconds tick_interval{5};
 inline constexpr int missed_beats = 3;
+inline constexpr milliseconds upkeep_time{2000};
 inline constexpr milliseconds client_deadline{3000};
 inline constexpr int client_tries = 5;
 
@@ -88,8 +90,9 @@
     /// Waits until all entry hosts report that they are ready.
     bool wait_until_ready(std::chrono::milliseconds limit);
 
-    /// Kills the machine's process, which is started again a second later. Returns false if there is none.
-    bool kill_machine(std::size_t machine);
+    /// Sends the machine's process a signal. It is started again a second after it has ended. Returns false
+    /// if there is none.
+    bool signal_machine(std::size_t machine, int signal);
 
     // Clients. They retry at another machine after a refusal or without an answer, four times at most.
     /// Returns whether the job was accepted.
@@ -106,6 +109,14 @@
     void cut_from_store(std::size_t worker, bool off) { links_[worker].cut = off; }
     /// Starts a crashed worker again under the id that it had. Its entry follows after the delay.
     void restart(std::size_t worker);
+    /// A crashed worker is gone, and its machine has a new one with another id.
+    void replace(std::size_t worker);
+    /// While the host service is silent, no call to it has an effect or is answered.
+    void set_cloud_silent(bool silent);
+    /// Machines whose upkeep has begun.
+    [[nodiscard]] const std::set<std::string>& upkept() const { return upkept_; }
+    /// Machines for which an order to begin the upkeep came while the host service was silent.
+    [[nodiscard]] const std::set<std::string>& unheard() const { return unheard_; }
 
     run_history& history() { return history_; }
 
@@ -114,6 +125,7 @@
         bool cut = false;
         steady::time_point last_beat;
         steady::time_point next_beat;
+        std::optional<steady::time_point> upkeep_until;
     };
     struct ports {
         std::uint16_t caller = 0;
@@ -125,6 +137,7 @@
     std::uint16_t
     listen(std::function<void(const mjm::http_request&, const mjm::http_server::responder&)> handler);
     void write_settings(std::size_t machine, std::uint16_t store_port, std::uint16_t cloud_port);
+    void begin_upkeep(std::size_t worker);
     void answer_cloud(const mjm::http_request& request, const mjm::http_server::responder& respond);
     void tick();
     void beat();
@@ -147,6 +160,10 @@
     std::unique_ptr<mjm::http_client> client_;
     std::unique_ptr<boost::asio::steady_timer> timer_;
     std::size_t next_machine_ = 0;
+    bool cloud_silent_ = false;
+    std::vector<mjm::http_server::responder> held_;
+    std::set<std::string> upkept_;
+    std::set<std::string> unheard_;
     bool ended_ = false;
 };
 
@@ -159,7 +176,7 @@
     const steady::time_point now = steady::now();
     for (const worker_settings& w : settings_.workers) {
         workers_.push_back(std::make_unique<worker_standin>(w, history_));
-        links_.push_back({false, now, now});
+        links_.push_back({false, now, now, std::nullopt});
         worker_ports_.emplace_back();
         worker_standin* worker = workers_.back().get();
         for (std::size_t machine = 0; machine < settings_.machines; ++machine)
@@ -250,25 +267,70 @@
 inline void deployment::answer_cloud(const mjm::http_request& request,
                                      const mjm::http_server::responder& respond)
 {
-    mjm::http_response response;
+    const json call = mjm::platform::parse_json(request.body);
+    const std::string machine = mjm::platform::text_field(call, "machine").value_or("");
+    if (cloud_silent_) {
+        if (request.path == "/machine-upkeep") {
+            unheard_.insert(machine);
+            history_.note("unheard  upkeep of " + machine);
+        }
+        held_.push_back(respond);
+        return;
+    }
     if (request.path == "/machines") {
         json body{{"machines", json::array()}, {"next-token", nullptr}};
-        for (const auto& w : workers_) {
-            const worker_settings& s = w->settings();
+        for (std::size_t n = 0; n < workers_.size(); ++n) {
+            const worker_standin& w = *workers_[n];
+            const worker_settings& s = w.settings();
+            const char* state = links_[n].upkeep_until ? "upkeep" : w.up() ? "up" : "down";
             body["machines"].push_back({{"machine", s.machine},
                                         {"pool", s.service},
-                                        {"state", w->up() ? "up" : "down"},
+                                        {"state", state},
                                         {"zone", s.zone},
                                         {"labels", {"a", "r-" + s.zone}},
                                         {"capacity", {{"cpu", s.cpu}, {"mem-mb", s.mem_mb}, {"gpu", 0}}},
                                         {"id", s.id}});
         }
-        response.body = body.dump();
-    } else {
-        response.status = 409;
-        response.body = json{{"reason", "busy"}}.dump();
+        respond(answer_of(body));
+        return;
+    }
+    for (std::size_t n = 0; request.path == "/machine-upkeep" && n < workers_.size(); ++n) {
+        if (workers_[n]->settings().machine != machine)
+            continue;
+        if (upkept_.contains(machine) || workers_[n]->up()) {
+            if (!upkept_.contains(machine))
+                begin_upkeep(n);
+            respond(answer_of(json::object()));
+            return;
+        }
     }
-    respond(response);
+    respond(answer_of({{"reason", "busy"}}, 409));
+}
+
+inline void deployment::begin_upkeep(std::size_t worker)
+{
+    const std::string machine = workers_[worker]->settings().machine;
+    upkept_.insert(machine);
+    history_.note("upkeep   of " + machine);
+    store_->remove("servers/" + workers_[worker]->settings().id);
+    workers_[worker]->crash();
+    links_[worker].upkeep_until = steady::now() + upkeep_time;
+}
+
+inline void deployment::replace(std::size_t worker)
+{
+    const std::string old = workers_[worker]->settings().id;
+    workers_[worker]->restart(old + "x");
+    store_->remove("servers/" + old);
+    links_[worker].next_beat = steady::now() + settings_.first_registration_delay;
+}
+
+inline void deployment::set_cloud_silent(bool silent)
+{
+    cloud_silent_ = silent;
+    history_.note(std::string{"host service "} + (silent ? "silent" : "answers"));
+    for (const mjm::http_server::responder& respond : std::exchange(held_, {}))
+        respond(dropped());
 }
 
 inline void deployment::beat()
@@ -299,8 +361,13 @@
     if (ended_)
         return;
     store_->tick();
-    for (const auto& w : workers_)
-        w->tick();
+    for (std::size_t n = 0; n < workers_.size(); ++n) {
+        workers_[n]->tick();
+        if (links_[n].upkeep_until && steady::now() >= *links_[n].upkeep_until) {
+            links_[n].upkeep_until.reset();
+            replace(n);
+        }
+    }
     beat();
     timer_->expires_after(tick_interval);
     timer_->async_wait([this](boost::system::error_code) { tick(); });
@@ -312,12 +379,14 @@
     links_[worker].next_beat = steady::now() + settings_.first_registration_delay;
 }
 
-inline bool deployment::kill_machine(std::size_t machine)
+inline bool deployment::signal_machine(std::size_t machine, int signal)
 {
     pid_t pid = 0;
     std::ifstream{settings_.dir + "/machine-" + std::to_string(machine) + ".pid"} >> pid;
-    run([&] { history_.note("kill     of machine " + std::to_string(machine)); });
-    return pid > 0 && kill(pid, SIGKILL) == 0;
+    run([&] {
+        history_.note("signal " + std::to_string(signal) + " to machine " + std::to_string(machine));
+    });
+    return pid > 0 && kill(pid, signal) == 0;
 }
 
 inline void deployment::run(const std::function<void()>& work)
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <map>
@@ -66,11 +67,12 @@
         .dump();
 }
 
-std::string job_text(int count, int cpu, int estimate_ms)
+std::string job_text(int count, int cpu, int estimate_ms, bool lasts = false)
 {
-    return json{{"spec", "review"},
-                {"steps", {{{"count", count}, {"cpu", cpu}, {"mem-mb", 100}, {"estimate-ms", estimate_ms}}}}}
-        .dump();
+    json step{{"count", count}, {"cpu", cpu}, {"mem-mb", 100}, {"estimate-ms", estimate_ms}};
+    if (lasts)
+        step["long-running"] = true;
+    return json{{"spec", "review"}, {"steps", json::array({step})}}.dump();
 }
 
 worker_settings worker(const std::string& name, const std::string& zone)
@@ -128,13 +130,18 @@
     std::this_thread::sleep_for(time);
 }
 
-/// Returns the machine that gives the orders.
+/// Returns the machine that gives the orders, going by the latest one that was carried out.
 std::optional<std::size_t> leader_of(deployment& d)
 {
     std::optional<std::size_t> leader;
     d.run([&] {
-        for (std::size_t w = 0; w < d.workers(); ++w)
-            leader = d.worker(w).ordered_by() ? d.worker(w).ordered_by() : leader;
+        steady::time_point latest;
+        for (std::size_t w = 0; w < d.workers(); ++w) {
+            if (d.worker(w).ordered_by() && d.worker(w).ordered_at() > latest) {
+                latest = d.worker(w).ordered_at();
+                leader = d.worker(w).ordered_by();
+            }
+        }
     });
     return leader;
 }
@@ -189,6 +196,56 @@
     return judge_twice(d);
 }
 
+/// A worker is lost for good, and the machine that gives the orders is restarted by SIGTERM, twice.
+int play_rolling_restart(const options& o)
+{
+    constexpr std::size_t workers = 3;
+    deployment_settings s = common(o);
+    for (std::size_t n = 0; n < workers; ++n) {
+        worker_settings w = worker(std::to_string(n), "zone-" + std::to_string(n));
+        w.plan = [](const std::string&, std::int64_t) { return task_plan{std::chrono::hours{1}, "done"}; };
+        s.workers.push_back(w);
+    }
+    deployment d{s};
+    if (!d.wait_until_ready(milliseconds{10000}))
+        return give_up(d, "not ready");
+    sleep_for(milliseconds{1000});
+    // Three tasks of half a worker each, so that two workers have tasks and there is room for three more.
+    if (!d.submit("/quotes/00000000000000f1", job_text(3, 8000, 1000, true)))
+        return give_up(d, "the job was not accepted");
+    if (!d.wait_until(milliseconds{5000}, [&] { return running(d) == 3; }))
+        return give_up(d, "not all tasks were started");
+    sleep_for(milliseconds{2000});
+    // The worker that runs one task, so that the others go on to show who gives the orders.
+    const steady::time_point lost_at = steady::now();
+    d.run([&] {
+        for (std::size_t w = 0; w < workers; ++w) {
+            if (o.trouble && d.worker(w).running() == 1)
+                d.worker(w).crash();
+        }
+    });
+    for (int n = 0; n < 2; ++n) {
+        sleep_for(milliseconds{n == 0 ? 1000 : 5000});
+        if (o.trouble && !d.signal_machine(*leader_of(d), SIGTERM))
+            return give_up(d, "no process to restart");
+    }
+    // Calm begins contact-ms after the loss. From then on, no 3 s without a run may follow 4 s of calm.
+    constexpr milliseconds calm_after{3000};
+    constexpr milliseconds longest_gap{4000 + 3000};
+    const bool in_time = d.wait_until(
+        std::chrono::duration_cast<milliseconds>(lost_at + calm_after + longest_gap - steady::now()),
+        [&] { return running(d) == 3; });
+    d.run([&] { d.history().note(std::to_string(running(d)) + " of 3 tasks run 10 s after the loss"); });
+    d.wait_until(milliseconds{15000}, [&] { return running(d) == 3; });
+    if (running(d) < 3)
+        d.run([&] { d.history().note("not all tasks run at the end"); });
+    std::vector<std::string> breaches;
+    if (!in_time)
+        breaches.emplace_back(
+            "LOST a task that lasts has no run for 3 s after 4 s of calm, with room for it");
+    return judge(d, breaches);
+}
+
 /// The process that gives the orders is killed shortly before many short tasks of one worker end.
 int play_many_ends(const options& o)
 {
@@ -215,7 +272,7 @@
     if (!d.wait_until(milliseconds{2500}, [&] { return d.history().size() >= tasks; }))
         return give_up(d, "not all tasks were started");
     sleep_for(milliseconds{2300});
-    if (o.trouble && !d.kill_machine(*leader_of(d)))
+    if (o.trouble && !d.signal_machine(*leader_of(d), SIGKILL))
         return give_up(d, "no process to kill");
     if (!d.wait_for_state(job, "completed", milliseconds{30000}))
         d.run([&] { d.history().note("the job isn't completed"); });
@@ -286,16 +343,129 @@
     return judge_twice(d);
 }
 
+/// Orders for a wave of upkeep stay unheard, and the workers of these machines crash meanwhile.
+int play_unheard_upkeep(const options& o)
+{
+    constexpr std::size_t machines = 6;
+    deployment_settings s = common(o);
+    json wave{{"wave", 1}, {"machines", json::array()}, {"duration-s", 26}, {"cap", 2}};
+    for (std::size_t n = 0; n < machines; ++n) {
+        worker_settings w = worker(std::to_string(n), "zone-" + std::to_string(n % 3));
+        w.plan = [](const std::string&, std::int64_t) { return task_plan{milliseconds{1000}, "done"}; };
+        s.workers.push_back(w);
+        wave["machines"].push_back(w.machine);
+    }
+    deployment d{s};
+    if (!d.wait_until_ready(milliseconds{10000}))
+        return give_up(d, "not ready");
+    sleep_for(milliseconds{3000});
+    if (o.trouble)
+        d.run([&] { d.set_cloud_silent(true); });
+    d.run([&] {
+        d.store().put("op/wave/1", wave.dump());
+        d.history().note("asked    for wave 1: " + wave.dump());
+    });
+    if (o.trouble) {
+        sleep_for(milliseconds{2000});
+        const auto for_unheard = [&](const std::function<void(std::size_t)>& act) {
+            d.run([&] {
+                for (std::size_t n = 0; n < machines; ++n) {
+                    if (d.unheard().contains(d.worker(n).settings().machine))
+                        act(n);
+                }
+            });
+        };
+        for_unheard([&](std::size_t n) { d.worker(n).crash(); });
+        sleep_for(milliseconds{500});
+        for_unheard([&](std::size_t n) { d.replace(n); });
+        sleep_for(milliseconds{2500});
+        d.run([&] { d.set_cloud_silent(false); });
+    }
+    std::vector<std::string> breaches;
+    const bool completed = d.wait_until(milliseconds{60000}, [&] {
+        const std::string* status = d.store().find("status/wave/1");
+        return status != nullptr && status->find("completed") != std::string::npos;
+    });
+    if (!completed)
+        return give_up(d, "the wave was not reported as completed");
+    d.run([&] {
+        d.history().note("status/wave/1: " + *d.store().find("status/wave/1"));
+        for (std::size_t n = 0; n < machines; ++n) {
+            const std::string& machine = d.worker(n).settings().machine;
+            if (!d.upkept().contains(machine))
+                breaches.push_back("MIXED wave 1 is said to be completed, and " + machine +
+                                   " hasn't begun its upkeep");
+        }
+    });
+    return judge(d, breaches);
+}
+
+/// The operator removes a route for some seconds while a job of it runs whose task fails now and then.
+int play_removed_route(const options& o)
+{
+    constexpr int max_attempts = 4;
+    deployment_settings s = common(o);
+    const json quotes = route("quotes", "/quotes/", max_attempts);
+    const json other = route("other", "/other/", max_attempts);
+    s.config = config_text(4, json::array({quotes, other}));
+    for (const char* name : {"1", "2"}) {
+        worker_settings w = worker(name, "zone-0");
+        w.plan = [](const std::string&, std::int64_t run) {
+            return task_plan{milliseconds{1500}, run < max_attempts ? "failed" : "done"};
+        };
+        s.workers.push_back(w);
+    }
+    deployment d{s};
+    if (!d.wait_until_ready(milliseconds{10000}))
+        return give_up(d, "not ready");
+    sleep_for(milliseconds{1000});
+    const std::string job = "/quotes/00000000000000e1";
+    if (!d.submit(job, job_text(1, 4000, 1500)))
+        return give_up(d, "the job was not accepted");
+    if (!d.wait_until(milliseconds{3000}, [&] { return running(d) == 1; }))
+        return give_up(d, "the task was not started");
+    const auto configure = [&](int version, const json& routes) {
+        d.run([&] {
+            d.store().put("op/config", config_text(version, routes));
+            d.history().note("operator version " + std::to_string(version) + " with " +
+                             std::to_string(routes.size()) + " routes");
+        });
+    };
+    if (o.trouble)
+        configure(6, json::array({other}));
+    sleep_for(milliseconds{4000});
+    if (o.trouble)
+        configure(9, json::array({quotes, other}));
+    sleep_for(milliseconds{6000});
+    const std::string state = d.state(job);
+    std::vector<std::string> breaches;
+    d.run([&] {
+        int failed = 0;
+        for (std::size_t n = 0; n < d.history().size(); ++n)
+            failed += d.history().at(n).how == "failed" ? 1 : 0;
+        if (state == "failed" && failed < max_attempts)
+            breaches.push_back("LOST the job is shown as failed after " + std::to_string(failed) +
+                               " failed runs of " + std::to_string(max_attempts));
+    });
+    return judge(d, breaches);
+}
+
 int play(std::string_view name, const options& o)
 {
     if (name == "zone-cut")
         return play_zone_cut(o);
+    if (name == "rolling-restart")
+        return play_rolling_restart(o);
     if (name == "many-ends")
         return play_many_ends(o);
     if (name == "restarted-worker")
         return play_restarted_worker(o);
     if (name == "idle-worker-cut")
         return play_idle_worker_cut(o);
+    if (name == "unheard-upkeep")
+        return play_unheard_upkeep(o);
+    if (name == "removed-route")
+        return play_removed_route(o);
     std::cerr << "unknown case\n";
     return not_run;
 }
--- a/review/standin/worker_standin.h
+++ b/review/standin/worker_standin.h
@@ -76,8 +76,9 @@
     [[nodiscard]] std::string registration();
     /// Ends runs whose work or lease is over, and answers calls whose wait is over.
     void tick();
-    /// The machine that sent the latest start which was accepted.
+    /// The machine whose order was carried out last, and when.
     [[nodiscard]] std::optional<std::size_t> ordered_by() const { return ordered_by_; }
+    [[nodiscard]] std::chrono::steady_clock::time_point ordered_at() const { return ordered_at_; }
 
 private:
     struct running_task {
@@ -104,11 +105,13 @@
     [[nodiscard]] std::int64_t clock_ms() const;
     void start(const mjm::http_request& request, std::size_t machine,
                const mjm::http_server::responder& respond);
-    void stop(const mjm::http_request& request, const mjm::http_server::responder& respond);
+    void stop(const mjm::http_request& request, std::size_t machine,
+              const mjm::http_server::responder& respond);
     void hold(const mjm::http_request& request, std::size_t machine,
               const mjm::http_server::responder& respond);
     /// Returns false, and answers, if the call carries an older fencing token than the worker has seen.
-    [[nodiscard]] bool admit(std::int64_t token, const mjm::http_server::responder& respond);
+    [[nodiscard]] bool admit(std::int64_t token, std::size_t machine,
+                             const mjm::http_server::responder& respond);
     void extend(std::int64_t deadline_ms);
     void end_run(const std::string& task, const std::string& how);
     void list(const mjm::http_server::responder& respond) const;
@@ -130,6 +133,7 @@
     std::deque<listed_end> ends_;
     std::list<waiting_hold> holds_;
     std::optional<std::size_t> ordered_by_;
+    std::chrono::steady_clock::time_point ordered_at_;
 };
 
 inline worker_standin::worker_standin(worker_settings settings, run_history& history)
@@ -177,20 +181,23 @@
     if (request.path == "/run-start")
         start(request, machine, respond);
     else if (request.path == "/run-stop")
-        stop(request, respond);
+        stop(request, machine, respond);
     else if (request.path == "/hold")
         hold(request, machine, respond);
     else
         respond(answer_of({{"clock-ms", clock_ms()}}));
 }
 
-inline bool worker_standin::admit(std::int64_t token, const mjm::http_server::responder& respond)
+inline bool worker_standin::admit(std::int64_t token, std::size_t machine,
+                                  const mjm::http_server::responder& respond)
 {
     if (token < token_) {
         refuse(respond, "fence");
         return false;
     }
     token_ = token;
+    ordered_by_ = machine;
+    ordered_at_ = std::chrono::steady_clock::now();
     return true;
 }
 
@@ -212,7 +219,7 @@
     const std::int64_t run = integer_field(body, "run").value_or(0);
     const std::int64_t deadline = integer_field(body, "deadline-ms").value_or(0);
     const std::string where = " at " + settings_.id + " from machine " + std::to_string(machine);
-    if (!admit(integer_field(body, "fencing-token").value_or(0), respond)) {
+    if (!admit(integer_field(body, "fencing-token").value_or(0), machine, respond)) {
         history_.note("fenced   start of " + task + " run " + std::to_string(run) + where);
         return;
     }
@@ -227,10 +234,16 @@
         return;
     }
     const auto ended = last_ended_.find(task);
-    if (there != runs_.end() || (ended != last_ended_.end() && run <= ended->second)) {
+    if (ended != last_ended_.end() && run <= ended->second) {
         refuse(respond, "old");
         return;
     }
+    // The protocol page doesn't say what a worker does with a second run of a task that it runs. This one has
+    // no room for it.
+    if (there != runs_.end()) {
+        refuse(respond, run < there->second.run ? "old" : "room");
+        return;
+    }
     const task_plan plan = settings_.plan(task, run);
     running_task& it = runs_[task];
     it.run = run;
@@ -238,16 +251,16 @@
         clock_ms() + static_cast<std::int64_t>(static_cast<double>(plan.work.count()) * settings_.clock_rate);
     it.how = plan.how;
     it.history = history_.start(task, run, settings_.id + " (born " + std::to_string(born_ms_) + ")");
-    ordered_by_ = machine;
     respond(answer_of({{"clock-ms", clock_ms()}}));
 }
 
-inline void worker_standin::stop(const mjm::http_request& request, const mjm::http_server::responder& respond)
+inline void worker_standin::stop(const mjm::http_request& request, std::size_t machine,
+                                 const mjm::http_server::responder& respond)
 {
     const json body = parse_json(request.body);
     const std::string task = text_field(body, "task").value_or("");
     const std::int64_t run = integer_field(body, "run").value_or(0);
-    if (!admit(integer_field(body, "fencing-token").value_or(0), respond))
+    if (!admit(integer_field(body, "fencing-token").value_or(0), machine, respond))
         return;
     history_.note("stop     of " + task + " run " + std::to_string(run) + " at " + settings_.id);
     std::int64_t& ended = last_ended_[task];
@@ -264,7 +277,7 @@
                                  const mjm::http_server::responder& respond)
 {
     const json body = parse_json(request.body);
-    if (!admit(integer_field(body, "fencing-token").value_or(0), respond))
+    if (!admit(integer_field(body, "fencing-token").value_or(0), machine, respond))
         return;
     extend(integer_field(body, "deadline-ms").value_or(0));
     const std::int64_t seen = integer_field(body, "seen-upto").value_or(0);
