--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -20,6 +20,7 @@
 #include <fstream>
 #include <functional>
 #include <future>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -111,6 +112,8 @@
     void restart(std::size_t worker);
     /// A crashed worker is gone, and its machine has a new one with another id.
     void replace(std::size_t worker);
+    /// The same, and the new worker has another address. Nothing answers at the former one.
+    void replace_elsewhere(std::size_t worker);
     /// While the host service is silent, no call to it has an effect or is answered.
     void set_cloud_silent(bool silent);
     /// Machines whose upkeep has begun.
@@ -126,6 +129,7 @@
         steady::time_point last_beat;
         steady::time_point next_beat;
         std::optional<steady::time_point> upkeep_until;
+        std::size_t address = 0; ///< Counts the worker's changes of address.
     };
     struct ports {
         std::uint16_t caller = 0;
@@ -137,6 +141,7 @@
     std::uint16_t
     listen(std::function<void(const mjm::http_request&, const mjm::http_server::responder&)> handler);
     void write_settings(std::size_t machine, std::uint16_t store_port, std::uint16_t cloud_port);
+    void open_worker(std::size_t worker);
     void begin_upkeep(std::size_t worker);
     void answer_cloud(const mjm::http_request& request, const mjm::http_server::responder& respond);
     void tick();
@@ -159,6 +164,7 @@
     std::vector<ports> ports_;
     std::unique_ptr<mjm::http_client> client_;
     std::unique_ptr<boost::asio::steady_timer> timer_;
+    std::map<std::string, steady::time_point> silent_entries_; ///< Of former workers, and when they end.
     std::size_t next_machine_ = 0;
     bool cloud_silent_ = false;
     std::vector<mjm::http_server::responder> held_;
@@ -176,15 +182,9 @@
     const steady::time_point now = steady::now();
     for (const worker_settings& w : settings_.workers) {
         workers_.push_back(std::make_unique<worker_standin>(w, history_));
-        links_.push_back({false, now, now, std::nullopt});
+        links_.push_back({false, now, now, std::nullopt, 0});
         worker_ports_.emplace_back();
-        worker_standin* worker = workers_.back().get();
-        for (std::size_t machine = 0; machine < settings_.machines; ++machine)
-            worker_ports_.back().push_back(
-                listen([worker, machine](const mjm::http_request& request,
-                                         const mjm::http_server::responder& respond) {
-                    worker->handle(request, machine, respond);
-                }));
+        open_worker(workers_.size() - 1);
     }
     const std::uint16_t cloud =
         listen([this](const mjm::http_request& request, const mjm::http_server::responder& respond) {
@@ -307,6 +307,27 @@
     respond(answer_of({{"reason", "busy"}}, 409));
 }
 
+inline void deployment::open_worker(std::size_t worker)
+{
+    worker_ports_[worker].clear();
+    for (std::size_t machine = 0; machine < settings_.machines; ++machine)
+        worker_ports_[worker].push_back(
+            listen([this, worker, machine, address = links_[worker].address](
+                       const mjm::http_request& request, const mjm::http_server::responder& respond) {
+                if (address == links_[worker].address)
+                    workers_[worker]->handle(request, machine, respond);
+                else
+                    respond(dropped());
+            }));
+}
+
+inline void deployment::replace_elsewhere(std::size_t worker)
+{
+    ++links_[worker].address;
+    open_worker(worker);
+    replace(worker);
+}
+
 inline void deployment::begin_upkeep(std::size_t worker)
 {
     const std::string machine = workers_[worker]->settings().machine;
@@ -320,8 +341,10 @@
 inline void deployment::replace(std::size_t worker)
 {
     const std::string old = workers_[worker]->settings().id;
-    workers_[worker]->restart(old + "x");
-    store_->remove("servers/" + old);
+    // A crashed worker sends nothing, so that its entry stays for the missed beats.
+    if (store_->find("servers/" + old) != nullptr)
+        silent_entries_["servers/" + old] = links_[worker].last_beat + missed_beats * settings_.heartbeat;
+    workers_[worker]->restart("n" + old);
     links_[worker].next_beat = steady::now() + settings_.first_registration_delay;
 }
 
@@ -342,6 +365,12 @@
             it.last_beat = now;
         return;
     }
+    std::erase_if(silent_entries_, [&](const auto& entry) {
+        if (now <= entry.second)
+            return false;
+        store_->remove(entry.first);
+        return true;
+    });
     for (std::size_t n = 0; n < workers_.size(); ++n) {
         worker_standin& w = *workers_[n];
         const std::string key = "servers/" + w.settings().id;
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -400,6 +400,59 @@
     return judge(d, breaches);
 }
 
+/// A task crashes each worker that starts it. The worker's machine is back after 3 s with a new worker at
+/// another address.
+int play_deadly_task(const options& o)
+{
+    constexpr std::size_t workers = 8;
+    deployment_settings s = common(o);
+    for (std::size_t n = 0; n < workers; ++n) {
+        worker_settings w = worker(std::to_string(n), "zone-" + std::to_string(n % 3));
+        w.plan = [](const std::string&, std::int64_t) { return task_plan{milliseconds{2000}, "done"}; };
+        s.workers.push_back(w);
+    }
+    deployment d{s};
+    if (!d.wait_until_ready(milliseconds{10000}))
+        return give_up(d, "not ready");
+    sleep_for(milliseconds{1000});
+    const std::string job = "/quotes/0000000000000091";
+    if (!d.submit(job, job_text(1, 4000, 2000)))
+        return give_up(d, "the job was not accepted");
+    std::vector<std::optional<steady::time_point>> back(workers);
+    std::size_t crashes = 0;
+    std::size_t starts_after_three = 0;
+    std::size_t seen = 0;
+    const steady::time_point until = steady::now() + std::chrono::seconds{95};
+    bool ended = false;
+    while (!ended && steady::now() < until) {
+        sleep_for(milliseconds{100});
+        d.run([&] {
+            const std::size_t started = d.history().size() - seen;
+            seen = d.history().size();
+            starts_after_three += crashes >= 3 ? started : 0;
+            for (std::size_t w = 0; o.trouble && w < workers; ++w) {
+                if (back[w] && steady::now() >= *back[w]) {
+                    back[w].reset();
+                    d.replace_elsewhere(w);
+                } else if (!back[w] && d.worker(w).running() > 0) {
+                    d.worker(w).crash();
+                    back[w] = steady::now() + std::chrono::seconds{3};
+                    ++crashes;
+                }
+            }
+        });
+        ended = starts_after_three >= 3;
+        if (!ended && seen > 0 && !o.trouble)
+            ended = d.state(job) == "completed";
+    }
+    d.state(job);
+    std::vector<std::string> breaches;
+    if (starts_after_three >= 3)
+        breaches.push_back("BUDGET the task was started " + std::to_string(starts_after_three) +
+                           " more times after three workers had crashed under it");
+    return judge(d, breaches);
+}
+
 /// The operator removes a route for some seconds while a job of it runs whose task fails now and then.
 int play_removed_route(const options& o)
 {
@@ -464,6 +517,8 @@
         return play_idle_worker_cut(o);
     if (name == "unheard-upkeep")
         return play_unheard_upkeep(o);
+    if (name == "deadly-task")
+        return play_deadly_task(o);
     if (name == "removed-route")
         return play_removed_route(o);
     std::cerr << "unknown case\n";
