Log and count lease extensions by a leader whose own lease may be over

The logs couldn't tell which leader kept a target at work, nor whether the end of a lease that the next leader waited for was one it had granted. Adds the line leases_extended_unconfirmed, the metric mjm_target_lease_extensions_total, and the basis of the end of a lease in the reason of target_lost. No decision changes.

--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -17,6 +17,13 @@
     return metrics.gauge("mjm_view_age_seconds", "Age of what the leader knows.", {{"view", view}});
 }
 
+metric_counter extension_counter(metric_registry& metrics, const char* leader_lease)
+{
+    return metrics.counter("mjm_target_lease_extensions_total",
+                           "Extensions of targets' leases by the state of the leader's own lease.",
+                           {{"leader_lease", leader_lease}});
+}
+
 double seconds(duration d)
 {
     return std::chrono::duration<double>(d).count();
@@ -27,7 +34,8 @@
 job_leader::job_leader(job_leader_settings settings, job_leader_services services, fencing_token token,
                        std::shared_ptr<const fleet_config> config, std::function<bool()> lease_valid,
                        std::function<void(const std::string&)> superseded)
-    : settings_{settings}, services_{std::move(services)}, token_{token}, superseded_{std::move(superseded)},
+    : settings_{settings}, services_{std::move(services)}, token_{token},
+      lease_valid_{std::move(lease_valid)}, superseded_{std::move(superseded)},
       scheduler_{settings.scheduling, token, now(), [this](const scheduler_log_entry& n) { log_event(n); }},
       journal_{services_.store,
                services_.time,
@@ -54,6 +62,8 @@
       cancel_delay_seconds_{services_.metrics.histogram(
           "mjm_cancel_delay_seconds", "Time from a caller's cancellation until the leader handles it.",
           delay_bounds)},
+      extensions_{extension_counter(services_.metrics, "valid")}, uncovered_extensions_{extension_counter(
+                                                                      services_.metrics, "expired")},
       target_view_age_seconds_{view_age_gauge(services_.metrics, "targets")},
       cancel_view_age_seconds_{view_age_gauge(services_.metrics, "cancellations")}
 {
@@ -66,7 +76,7 @@
                                                 host_manager_services{scheduler_, *services_.hosts,
                                                                       services_.store, services_.time,
                                                                       services_.log},
-                                                token_, std::move(lease_valid));
+                                                token_, lease_valid_);
         hosts_->set_config(config);
     }
     scheduler_.set_config(std::move(config));
@@ -395,6 +405,8 @@
     const timestamp at = services_.time.now();
     for (const target_id& id : scheduler_.due_observations(at)) {
         const lease_request request = scheduler_.begin_observation(id, at);
+        if (request.deadline_ms != 0)
+            note_extension();
         services_.orders.observe(
             scheduler_.ref_of(id), request,
             guarded([this, id, at](const tl::expected<target_report, order_errc>& report) {
@@ -404,6 +416,15 @@
     }
 }
 
+void job_leader::note_extension()
+{
+    const bool covered = lease_valid_();
+    (covered ? extensions_ : uncovered_extensions_).add();
+    if (!covered && !extends_uncovered_)
+        services_.log.warn("leases_extended_unconfirmed", {{"token", token_}});
+    extends_uncovered_ = !covered;
+}
+
 void job_leader::remove_expired_jobs()
 {
     const timestamp at = services_.time.now();
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -87,6 +87,9 @@
     void plan_and_send();
     void send(const target_command& command);
     void send_observations();
+    /// Counts an extension of a target's lease, and logs the first one that this host's own lease does not
+    /// cover.
+    void note_extension();
     void remove_expired_jobs();
     void log_event(const scheduler_log_entry& n);
     void count_event(const scheduler_log_entry& n);
@@ -101,6 +104,7 @@
     const job_leader_settings settings_;
     job_leader_services services_;
     const fencing_token token_;
+    const std::function<bool()> lease_valid_;
     const std::function<void(const std::string&)> superseded_;
     job_scheduler scheduler_;
     progress_journal journal_;
@@ -111,6 +115,8 @@
     metric_histogram first_start_seconds_;
     metric_histogram start_delay_seconds_;
     metric_histogram cancel_delay_seconds_;
+    metric_counter extensions_;
+    metric_counter uncovered_extensions_; ///< Extensions while another host may have led.
     metric_gauge target_view_age_seconds_;
     metric_gauge cancel_view_age_seconds_;
     std::map<job_id, timestamp> finished_at_; ///< When each job in a final state was first seen as such.
@@ -126,6 +132,7 @@
     bool has_targets_ = false;
     bool pass_requested_ = false;
     bool starts_paused_ = false; ///< Whether the views were too old for starts when they were last checked.
+    bool extends_uncovered_ = false; ///< Whether the last extension was sent while another host may have led.
     bool stopped_ = false;
 };
 
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -12,6 +12,15 @@
 // target repeats the stop sooner.
 constexpr int max_stop_doublings = 3;
 
+/// Tells for the log how the end of the target's lease is known.
+std::string lease_basis(const target_status& t, timestamp now)
+{
+    if (t.lease_granted_at == timestamp{})
+        return "assumed from the start of the term";
+    return "granted " + std::to_string(to_ms(now - t.lease_granted_at)) + " ms before with a clock read " +
+           std::to_string(to_ms(t.lease_clock_age)) + " ms earlier";
+}
+
 } // namespace
 
 job_scheduler::job_scheduler(scheduler_settings settings, fencing_token token, scheduler_time time,
@@ -427,8 +436,8 @@
 {
     for (auto& [id, t] : targets_) {
         if (!t.runs.empty() && !t.reachable && time.now > t.lease_until) {
-            log_event(scheduler_event::target_lost, {}, nullptr, 0, id, "lease expired",
-                      to_ms(time.now - t.lease_until));
+            log_event(scheduler_event::target_lost, {}, nullptr, 0, id,
+                      "lease expired, " + lease_basis(t, time.now), to_ms(time.now - t.lease_until));
             lose_silent_target(t, time);
             t.synced = false;
         }
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -362,6 +362,8 @@
     /// Returns the latest time, on this host's clock, at which a lease granted at `granted_at` ends on its
     /// target.
     [[nodiscard]] timestamp lease_end(timestamp granted_at) const;
+    /// Notes that a lease of the target is granted or extended.
+    void note_lease(target_status& t, timestamp now) const;
 
     // scheduler_crashes.cpp
     struct target_loss {
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -226,7 +226,7 @@
     const timestamp planned_at = std::exchange(t.run->ordered_at, time.now);
     t.run->phase = run_phase::ordered;
     t.run->order_pending = true;
-    target->lease_until = std::max(target->lease_until, lease_end(time.now));
+    note_lease(*target, time.now);
     commands_.emplace_back(start_command{ref_of(t.run->target), std::move(order), planned_at});
 }
 
@@ -323,6 +323,13 @@
     }
 }
 
+void job_scheduler::note_lease(target_status& t, timestamp now) const
+{
+    t.lease_until = std::max(t.lease_until, lease_end(now));
+    t.lease_granted_at = now;
+    t.lease_clock_age = now - t.clock_at;
+}
+
 timestamp job_scheduler::lease_end(timestamp granted_at) const
 {
     const double length =
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -165,7 +165,7 @@
     // stopped stays fixed.
     if (t.clock_known && !t.runs.empty() && t.missed_observations == 0 && t.reachable) {
         request.deadline_ms = t.clock_at_time(now) + to_ms(settings_.target_lease);
-        t.lease_until = std::max(t.lease_until, lease_end(now));
+        note_lease(t, now);
     }
     if (t.synced && t.reachable && !(t.runs.empty() && t.unknown_runs.empty()) && t.unstored.empty() &&
         t.ordered_down_at == timestamp{} && !has_stopped_run(t))
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -53,6 +53,10 @@
     std::int64_t clock_ms = 0; ///< The target's clock at `clock_at`.
     timestamp clock_at;
     timestamp lease_until; ///< Latest time at which all its runs have stopped if the lease is not extended.
+    /// When this leader last granted it a lease; the epoch if `lease_until` is what an earlier leader may
+    /// have granted.
+    timestamp lease_granted_at;
+    duration lease_clock_age{0}; ///< Age of the reading of the target's clock on which that lease was based.
 
     std::uint64_t ends_seen = 0;         ///< Sequence number of the latest end that has been handled.
     std::uint64_t ends_acknowledged = 0; ///< Latest acknowledgement that was sent to the target.
