Reproduce the tasks that ran twice: a leader that is cut off with its zone

The simulated fleet gets zones: an entry host and some hosts that are cut off together, while calls inside the zone still arrive. Targets shorten leases beyond the longest one, and a start after an end that is acknowledged only later is a violation, as the rule says.

--- a/src/plugins/jobs/tests/fakes/fake_targets.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_targets.cpp
@@ -11,9 +11,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds latency{2};
-constexpr std::chrono::milliseconds call_timeout{700};
 constexpr std::chrono::milliseconds maintenance_time{2000};
 constexpr std::chrono::milliseconds move_time{1500};
+// The platform's `hold-max-ms`; targets shorten a longer lease.
+constexpr std::chrono::milliseconds longest_lease{6000};
 // The platform's lease time, within which two leaders must not order the same host.
 constexpr std::chrono::milliseconds order_lease{3000};
 constexpr std::chrono::milliseconds time_until_crash{10};
@@ -39,6 +40,13 @@
     return to_ms(loop_.time().now().time_since_epoch());
 }
 
+void fake_fleet::extend_lease(target& t, std::int64_t deadline_ms) const
+{
+    const duration left =
+        std::min<duration>(std::chrono::milliseconds{deadline_ms - clock_ms()}, longest_lease);
+    t.lease_until = std::max(t.lease_until, loop_.time().now() + left);
+}
+
 fake_fleet::target* fake_fleet::find(const std::string& host)
 {
     const auto it = hosts_.find(host);
@@ -158,6 +166,7 @@
 void fake_fleet::begin(target& t, const start_order& order, bool in_time)
 {
     ++starts;
+    last_starts[order.task] = std::max(last_starts[order.task], order.run);
     if (done_tasks.contains(order.task))
         violations.push_back("started after its end: " + to_string(order.task));
     if (shown_completed.contains(order.task.job))
@@ -288,9 +297,7 @@
                 t.token = order.token;
                 if (order.deadline_ms <= clock_ms())
                     return tl::unexpected{order_errc::too_late};
-                t.lease_until =
-                    std::max(t.lease_until,
-                             loop_.time().now() + std::chrono::milliseconds{order.deadline_ms - clock_ms()});
+                extend_lease(t, order.deadline_ms);
                 const auto closed = t.closed.find(order.task);
                 if (closed != t.closed.end() && order.run <= closed->second)
                     return tl::unexpected{order_errc::superseded};
@@ -336,14 +343,16 @@
             return tl::unexpected{order_errc::fenced};
         t.token = request.token;
         if (request.deadline_ms > clock_ms())
-            t.lease_until =
-                std::max(t.lease_until,
-                         loop_.time().now() + std::chrono::milliseconds{request.deadline_ms - clock_ms()});
+            extend_lease(t, request.deadline_ms);
         std::erase_if(t.ended, [&](const listed_end& e) {
             if (e.sequence > request.ends_acknowledged)
                 return false;
-            if (e.how == run_end::done && e.sequence > t.stale_ends)
+            if (e.how == run_end::done && e.sequence > t.stale_ends) {
                 done_tasks.insert(e.task);
+                if (last_starts[e.task] > e.run)
+                    violations.push_back("started again after an end that was acknowledged later: " +
+                                         to_string(e.task));
+            }
             if (e.how == run_end::failed && e.sequence > t.stale_ends)
                 ++acknowledged_fails[e.task];
             return true;
@@ -458,6 +467,15 @@
     return out;
 }
 
+std::string fake_fleet::host_at(const http_endpoint& address) const
+{
+    for (const auto& [host, t] : hosts_) {
+        if (t.info.endpoint == address)
+            return host;
+    }
+    return {};
+}
+
 std::string fake_fleet::host_of(const task_key& task) const
 {
     for (const auto& [host, t] : hosts_) {
--- a/src/plugins/jobs/tests/fakes/fake_targets.h
+++ b/src/plugins/jobs/tests/fakes/fake_targets.h
@@ -26,6 +26,8 @@
 /// invariants on every start and host order, and records breaches in `violations`.
 class fake_fleet {
 public:
+    static constexpr std::chrono::milliseconds call_timeout{700};
+
     fake_fleet(virtual_loop& loop, random_source& random) : loop_{loop}, random_{random} {}
 
     struct run {
@@ -106,6 +108,8 @@
     [[nodiscard]] std::size_t running(const job_id& id) const;
     /// Returns the tasks that run on the host's target.
     [[nodiscard]] std::vector<task_key> running_on(const std::string& host) const;
+    /// Returns the host whose target has the address; empty if none has it.
+    [[nodiscard]] std::string host_at(const http_endpoint& address) const;
     /// Returns the host on whose target the task runs; empty if it runs nowhere.
     [[nodiscard]] std::string host_of(const task_key& task) const;
 
@@ -119,6 +123,7 @@
     std::map<task_key, int> crashes_under; ///< Crashes of targets while the task ran there, by any cause.
     std::vector<std::string> violations;
     std::set<task_key> done_tasks;
+    std::map<task_key, run_number> last_starts; ///< Number of each task's latest run that was started.
     /// Jobs whose tasks run until the job is cancelled, so that their attempts are not limited.
     std::set<job_id> limitless_attempts;
     std::map<task_key, int> failed_runs;        ///< Runs that have ended as failed.
@@ -144,6 +149,8 @@
     /// Returns the target that answers at the address, or nullptr if none does.
     target* answering(const http_endpoint& at);
     [[nodiscard]] std::int64_t clock_ms() const;
+    /// Extends the target's lease to the deadline on its clock.
+    void extend_lease(target& t, std::int64_t deadline_ms) const;
     void end(target& t, const task_key& task, run_end how);
     /// `in_time` tells whether bounds on the time of a start hold for this one.
     void begin(target& t, const start_order& order, bool in_time);
@@ -180,20 +187,24 @@
 
     /// Returns whether the entry host has had no fault for a while; null if it never has one.
     std::function<bool()> in_touch;
-    duration answer_delay{0}; ///< Time for which the entry host leaves answers unhandled.
+    duration answer_delay{0};                ///< Time for which the entry host leaves answers unhandled.
+    std::set<std::string> unreachable_hosts; ///< Hosts whose targets the entry host is cut off from.
 
     void start(const target_ref& target, const start_order& order, order_callback done) override
     {
-        fleet_.start(target, order, !in_touch || in_touch(), handled_later(std::move(done)));
+        if (reaches(target, done))
+            fleet_.start(target, order, !in_touch || in_touch(), handled_later(std::move(done)));
     }
     void stop(const target_ref& target, const task_key& task, run_number run, fencing_token token,
               order_callback done) override
     {
-        fleet_.stop(target, task, run, token, handled_later(std::move(done)));
+        if (reaches(target, done))
+            fleet_.stop(target, task, run, token, handled_later(std::move(done)));
     }
     void observe(const target_ref& target, const lease_request& request, report_callback done) override
     {
-        fleet_.observe(target, request, handled_later(std::move(done)));
+        if (reaches(target, done))
+            fleet_.observe(target, request, handled_later(std::move(done)));
     }
     void pace(const target_ref& /*target*/, const task_key& /*task*/, run_number /*run*/, int /*percent*/,
               fencing_token /*token*/, order_callback done) override
@@ -202,6 +213,16 @@
     }
 
 private:
+    /// Returns whether the target can be reached. Otherwise the order is lost and `done` is told so later.
+    template <typename Callback>
+    [[nodiscard]] bool reaches(const target_ref& target, const Callback& done)
+    {
+        if (!unreachable_hosts.contains(fleet_.host_at(target.endpoint)))
+            return true;
+        loop_.after(fake_fleet::call_timeout, [done] { done(tl::unexpected{order_errc::no_answer}); });
+        return false;
+    }
+
     template <typename Result>
     std::function<void(Result)> handled_later(std::function<void(Result)> done)
     {
--- a/src/plugins/jobs/tests/fleet_simulation.cpp
+++ b/src/plugins/jobs/tests/fleet_simulation.cpp
@@ -36,7 +36,7 @@
 void entry_host::note_faults()
 {
     if (!node || !link.reachable || link.watches_stuck || link.lost_commits > 0 || link.late_commits > 0 ||
-        directory_.frozen)
+        directory_.frozen || !orders_.unreachable_hosts.empty())
         last_fault_ = loop_.time().now();
 }
 
@@ -183,6 +183,29 @@
                                  });
 }
 
+void fleet_simulation::cut_zone(entry_host& entry, const std::set<std::string>& zone_hosts)
+{
+    for (const std::unique_ptr<entry_host>& h : hosts) {
+        const bool inside = h.get() == &entry;
+        h->link.reachable = !inside;
+        h->directory().frozen = inside;
+        h->orders().unreachable_hosts.clear();
+        for (const host_info& target_host : fleet.hosts()) {
+            if (zone_hosts.contains(target_host.id) != inside)
+                h->orders().unreachable_hosts.insert(target_host.id);
+        }
+    }
+}
+
+void fleet_simulation::mend_zone()
+{
+    for (const std::unique_ptr<entry_host>& h : hosts) {
+        h->link.reachable = true;
+        h->directory().frozen = false;
+        h->orders().unreachable_hosts.clear();
+    }
+}
+
 entry_host* fleet_simulation::leader()
 {
     for (const std::unique_ptr<entry_host>& h : hosts) {
--- a/src/plugins/jobs/tests/fleet_simulation.h
+++ b/src/plugins/jobs/tests/fleet_simulation.h
@@ -37,6 +37,7 @@
     fake_store_link link;
 
     [[nodiscard]] fake_host_operations& operations() { return operations_; }
+    [[nodiscard]] fake_fleet_orders& orders() { return orders_; }
     [[nodiscard]] fake_directory& directory() { return directory_; }
 
 private:
@@ -67,6 +68,9 @@
     void submit(const std::string& id, std::uint32_t tasks, bool permanent = false);
     /// Cancels a job through the entry host. Asks again every 0.5 s while the outcome is unknown.
     void cancel(const std::string& id, entry_host& through);
+    /// Cuts an availability zone off from the others and from the store: the entry host and the hosts in it.
+    void cut_zone(entry_host& entry, const std::set<std::string>& zone_hosts);
+    void mend_zone();
     /// Returns nullptr if no entry host leads.
     [[nodiscard]] entry_host* leader();
     [[nodiscard]] bool completed(const std::string& id);
