Extend leases of targets only while no other host can lead

Callers saw tasks run twice around a change of leader: permanent tasks twice at a time, and others again after their ends. Cause: a leader that was cut off with its zone went on extending its targets' leases, while the next leader took them to be over a fixed time after its own start. A lease that somebody may still extend has no end to wait for.

lease_policy now holds both halves: a lease is granted, by an observation or a start, only while the leader's own lease excludes another leader, so that all leases of earlier leaders were granted before the next term. Deadlines are times on the target's clock, so late orders don't matter.

--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -17,11 +17,11 @@
     return metrics.gauge("mjm_view_age_seconds", "Age of what the leader knows.", {{"view", view}});
 }
 
-metric_counter extension_counter(metric_registry& metrics, const char* leader_lease)
+metric_counter lease_counter(metric_registry& metrics, const char* outcome)
 {
     return metrics.counter("mjm_target_lease_extensions_total",
-                           "Extensions of targets' leases by the state of the leader's own lease.",
-                           {{"leader_lease", leader_lease}});
+                           "Extensions of targets' leases; withheld while another host may lead.",
+                           {{"outcome", outcome}});
 }
 
 double seconds(duration d)
@@ -32,16 +32,16 @@
 } // namespace
 
 job_leader::job_leader(job_leader_settings settings, job_leader_services services, fencing_token token,
-                       std::shared_ptr<const fleet_config> config, std::function<bool()> lease_valid,
+                       std::shared_ptr<const fleet_config> config, std::function<timestamp()> lease_until,
                        std::function<void(const std::string&)> superseded)
     : settings_{settings}, services_{std::move(services)}, token_{token},
-      lease_valid_{std::move(lease_valid)}, superseded_{std::move(superseded)},
+      lease_until_{std::move(lease_until)}, superseded_{std::move(superseded)},
       scheduler_{settings.scheduling, token, now(), [this](const scheduler_log_entry& n) { log_event(n); }},
       journal_{services_.store,
                services_.time,
                token,
                {[this](const std::vector<progress_write>& writes) {
-                    update_view_times();
+                    update_limits();
                     scheduler_.on_stored(writes, now());
                     request_pass();
                 },
@@ -62,9 +62,9 @@
       cancel_delay_seconds_{services_.metrics.histogram(
           "mjm_cancel_delay_seconds", "Time from a caller's cancellation until the leader handles it.",
           delay_bounds)},
-      extensions_{extension_counter(services_.metrics, "valid")}, uncovered_extensions_{extension_counter(
-                                                                      services_.metrics, "expired")},
-      target_view_age_seconds_{view_age_gauge(services_.metrics, "targets")},
+      extended_leases_{lease_counter(services_.metrics, "extended")},
+      withheld_leases_{lease_counter(services_.metrics, "withheld")}, target_view_age_seconds_{view_age_gauge(
+                                                                          services_.metrics, "targets")},
       cancel_view_age_seconds_{view_age_gauge(services_.metrics, "cancellations")}
 {
     for (const auto& [event, name] : enum_names<scheduler_event>::entries)
@@ -72,11 +72,11 @@
                                                                  "The leader's decisions and observations.",
                                                                  {{"event", std::string{name}}}));
     if (services_.hosts != nullptr) {
-        hosts_ = std::make_unique<host_manager>(settings_.hosts,
-                                                host_manager_services{scheduler_, *services_.hosts,
-                                                                      services_.store, services_.time,
-                                                                      services_.log},
-                                                token_, lease_valid_);
+        hosts_ = std::make_unique<host_manager>(
+            settings_.hosts,
+            host_manager_services{scheduler_, *services_.hosts, services_.store, services_.time,
+                                  services_.log},
+            token_, [this] { return services_.time.now() < lease_until_(); });
         hosts_->set_config(config);
     }
     scheduler_.set_config(std::move(config));
@@ -292,11 +292,12 @@
     plan_and_send();
 }
 
-void job_leader::update_view_times()
+void job_leader::update_limits()
 {
     const timestamp targets = services_.directory.view_time();
     const timestamp cancellations = inbox_ ? inbox_->view_time() : timestamp{};
     scheduler_.set_view_times(targets, cancellations);
+    scheduler_.set_leader_lease(lease_until_());
     if (loaded_ && has_targets_)
         log_view_age(targets, cancellations);
 }
@@ -344,7 +345,7 @@
     }
     if (!loaded_ || !has_targets_)
         return;
-    update_view_times();
+    update_limits();
     if (journal_.idle()) {
         scheduler_.plan(now());
         if (scheduler_.has_unstored())
@@ -406,7 +407,9 @@
     for (const target_id& id : scheduler_.due_observations(at)) {
         const lease_request request = scheduler_.begin_observation(id, at);
         if (request.deadline_ms != 0)
-            note_extension();
+            extended_leases_.add();
+        else if (request.lease_withheld)
+            withheld_leases_.add();
         services_.orders.observe(
             scheduler_.ref_of(id), request,
             guarded([this, id, at](const tl::expected<target_report, order_errc>& report) {
@@ -416,15 +419,6 @@
     }
 }
 
-void job_leader::note_extension()
-{
-    const bool covered = lease_valid_();
-    (covered ? extensions_ : uncovered_extensions_).add();
-    if (!covered && !extends_uncovered_)
-        services_.log.warn("leases_extended_unconfirmed", {{"token", token_}});
-    extends_uncovered_ = !covered;
-}
-
 void job_leader::remove_expired_jobs()
 {
     const timestamp at = services_.time.now();
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -48,10 +48,10 @@
 /// One term of leadership: takes over the stored jobs, schedules them, and stores their progress.
 class job_leader {
 public:
-    /// `lease_valid` returns whether no other entry host can lead at this moment. `superseded` is called with
+    /// `lease_until` returns the time until which no other entry host can lead. `superseded` is called with
     /// the reason when another leader has taken over; this one then does nothing more.
     job_leader(job_leader_settings settings, job_leader_services services, fencing_token token,
-               std::shared_ptr<const fleet_config> config, std::function<bool()> lease_valid,
+               std::shared_ptr<const fleet_config> config, std::function<timestamp()> lease_until,
                std::function<void(const std::string&)> superseded);
     ~job_leader();
     job_leader(const job_leader&) = delete;
@@ -79,7 +79,8 @@
     /// Runs `plan_and_send` once all events that are already queued have been handled, so that its cost is
     /// shared by them.
     void request_pass();
-    void update_view_times();
+    /// Tells the scheduler how recent its views are and until when this host leads.
+    void update_limits();
     /// Logs that the views have become too old for starts, or recent again.
     void log_view_age(timestamp targets, timestamp cancellations);
     void observe_cancel_delay(const kv_entry& entry);
@@ -87,9 +88,6 @@
     void plan_and_send();
     void send(const target_command& command);
     void send_observations();
-    /// Counts an extension of a target's lease, and logs the first one that this host's own lease does not
-    /// cover.
-    void note_extension();
     void remove_expired_jobs();
     void log_event(const scheduler_log_entry& n);
     void count_event(const scheduler_log_entry& n);
@@ -104,7 +102,7 @@
     const job_leader_settings settings_;
     job_leader_services services_;
     const fencing_token token_;
-    const std::function<bool()> lease_valid_;
+    const std::function<timestamp()> lease_until_;
     const std::function<void(const std::string&)> superseded_;
     job_scheduler scheduler_;
     progress_journal journal_;
@@ -115,8 +113,8 @@
     metric_histogram first_start_seconds_;
     metric_histogram start_delay_seconds_;
     metric_histogram cancel_delay_seconds_;
-    metric_counter extensions_;
-    metric_counter uncovered_extensions_; ///< Extensions while another host may have led.
+    metric_counter extended_leases_;
+    metric_counter withheld_leases_; ///< Extensions that were left out, since another host may have led.
     metric_gauge target_view_age_seconds_;
     metric_gauge cancel_view_age_seconds_;
     std::map<job_id, timestamp> finished_at_; ///< When each job in a final state was first seen as such.
@@ -132,7 +130,6 @@
     bool has_targets_ = false;
     bool pass_requested_ = false;
     bool starts_paused_ = false; ///< Whether the views were too old for starts when they were last checked.
-    bool extends_uncovered_ = false; ///< Whether the last extension was sent while another host may have led.
     bool stopped_ = false;
 };
 
--- a/src/plugins/jobs/job_node.cpp
+++ b/src/plugins/jobs/job_node.cpp
@@ -51,7 +51,7 @@
             settings_.leader,
             job_leader_services{services_.store, services_.orders, services_.directory, services_.hosts,
                                 services_.callbacks, services_.time, services_.log, services_.metrics},
-            election_.token(), config_, [this] { return election_.lease_valid(); },
+            election_.token(), config_, [this] { return election_.lease_until(); },
             [this](const std::string& why) {
                 step_down_reason_ = why;
                 step_down_ = true;
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -25,7 +25,7 @@
 
 job_scheduler::job_scheduler(scheduler_settings settings, fencing_token token, scheduler_time time,
                              log_handler handler)
-    : settings_{settings}, token_{token}, created_at_{time.now},
+    : settings_{settings}, token_{token}, leases_{settings.leases, time.now},
       log_handler_{std::move(handler)}, config_{std::make_shared<fleet_config>()}
 {
 }
@@ -177,11 +177,7 @@
                            t.info.service == info.service && t.info.capacity == info.capacity &&
                            t.registered_incarnation == info.incarnation;
     if (added) {
-        t.lease_until =
-            created_at_ +
-            duration{static_cast<std::int64_t>(static_cast<double>(settings_.longest_lease.count()) *
-                                               (1.0 + settings_.clock_drift))} +
-            settings_.lease_margin;
+        t.lease_until = leases_.earlier_leases_over_at();
         t.next_observation = time.now;
         t.info.id = info.id;
         account_restored_runs(t);
@@ -476,7 +472,7 @@
             return;
         // The run was restored from the store, and its target has not been listed since.
         if (!t.run->on_known_target) {
-            if (time.now > created_at_ + settings_.longest_lease + settings_.lease_margin * 2) {
+            if (time.now > leases_.earlier_leases_over_at()) {
                 const lost_run lost{{open.state->id(), p}, t.run->number, true};
                 if (t.run->on_probation)
                     note_unresolved(open, lost, t.run->target, time);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -2,6 +2,7 @@
 
 #include "jobs/fleet_config.h"
 #include "jobs/job.h"
+#include "jobs/lease_policy.h"
 #include "jobs/placement.h"
 #include "jobs/scheduler_settings.h"
 #include "jobs/target_status.h"
@@ -151,6 +152,9 @@
     /// Sets the times whose targets and cancellations this scheduler knows. A scheduler that falls behind
     /// starts no run with an old view.
     void set_view_times(timestamp targets, timestamp cancellations);
+    /// Sets the time until which no other host can lead. Without it, this leader starts nothing and extends
+    /// no lease.
+    void set_leader_lease(timestamp until) { leases_.set_leader_lease(until); }
     /// Whether the views of the targets and of the cancellations are recent enough for starts.
     [[nodiscard]] bool may_start(timestamp now) const;
     /// Sets the hosts that take no new work, and the hosts that will be maintained soon. The latter get
@@ -359,11 +363,8 @@
     [[nodiscard]] std::map<target_id, resources> capacity_for_starts() const;
     /// Returns why the start must not be sent any more, or null if it may be.
     [[nodiscard]] const char* obstacle_to_sending(const start_command& start, timestamp now) const;
-    /// Returns the latest time, on this host's clock, at which a lease granted at `granted_at` ends on its
-    /// target.
-    [[nodiscard]] timestamp lease_end(timestamp granted_at) const;
-    /// Notes that a lease of the target is granted or extended.
-    void note_lease(target_status& t, timestamp now) const;
+    /// Notes that the target's lease is granted or extended.
+    void note_lease(target_status& t, const granted_lease& lease, timestamp now) const;
 
     // scheduler_crashes.cpp
     struct target_loss {
@@ -474,7 +475,7 @@
 
     const scheduler_settings settings_;
     const fencing_token token_;
-    const timestamp created_at_;
+    lease_policy leases_;
     const log_handler log_handler_;
     std::shared_ptr<const fleet_config> config_;
     std::map<job_id, open_job> jobs_;
--- a/src/plugins/jobs/leadership.cpp
+++ b/src/plugins/jobs/leadership.cpp
@@ -79,7 +79,7 @@
     }
 
     [[nodiscard]] bool leading() const { return leading_; }
-    [[nodiscard]] bool lease_valid() const { return leading_ && time_.now() < valid_until_; }
+    [[nodiscard]] timestamp lease_until() const { return leading_ ? valid_until_ : timestamp{}; }
     [[nodiscard]] fencing_token token() const { return token_; }
     [[nodiscard]] const std::string& leader() const { return leader_; }
 
@@ -277,9 +277,9 @@
     return impl_->leading();
 }
 
-bool leadership::lease_valid() const
+timestamp leadership::lease_until() const
 {
-    return impl_->lease_valid();
+    return impl_->lease_until();
 }
 
 fencing_token leadership::token() const
--- a/src/plugins/jobs/leadership.h
+++ b/src/plugins/jobs/leadership.h
@@ -71,8 +71,8 @@
     void step_down(const std::string& why);
 
     [[nodiscard]] bool leading() const;
-    /// Whether this host leads and no other host can lead at this moment.
-    [[nodiscard]] bool lease_valid() const;
+    /// Returns the time until which no other host can lead; the epoch if this one does not.
+    [[nodiscard]] timestamp lease_until() const;
     [[nodiscard]] fencing_token token() const;
     /// Returns the address of the current leader; empty if none is known.
     [[nodiscard]] const std::string& leader() const;
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -60,7 +60,7 @@
 {
     update_queues(time);
     update_isolation(time);
-    if (!may_start(time.now))
+    if (!may_start(time.now) || !leases_.may_grant(time.now))
         return;
     const std::set<service_id> services = std::exchange(plan_needed_, {});
     for (const service_id& service : services) {
@@ -214,19 +214,23 @@
         return;
     }
     target_status* target = find_target(t.run->target);
-    const std::int64_t lease_ms = to_ms(settings_.target_lease);
+    const std::optional<granted_lease> lease = leases_.grant(*target->clock, time.now);
+    if (!lease) {
+        discard_run(open, p, "another host may lead", time);
+        return;
+    }
     start_order order;
     order.task = {j.id(), p};
     order.run = t.run->number;
     order.payload = j.record().spec.payload;
-    order.deadline_ms = target->clock_at_time(time.now) + lease_ms;
+    order.deadline_ms = lease->deadline_ms;
     order.token = token_;
     if (j.step(p.step).saves_progress)
         order.checkpoint = t.checkpoint;
     const timestamp planned_at = std::exchange(t.run->ordered_at, time.now);
     t.run->phase = run_phase::ordered;
     t.run->order_pending = true;
-    note_lease(*target, time.now);
+    note_lease(*target, *lease, time.now);
     commands_.emplace_back(start_command{ref_of(t.run->target), std::move(order), planned_at});
 }
 
@@ -236,13 +240,15 @@
     if (it == targets_.end())
         return "target changed before the start";
     const target_status& target = it->second;
-    if (!target.reachable || !target.clock_known || !target.listed ||
-        target.info.state != target_state::ready || target.info.incarnation != run.incarnation)
+    if (!target.reachable || !target.clock || !target.listed || target.info.state != target_state::ready ||
+        target.info.incarnation != run.incarnation)
         return "target changed before the start";
     if (!target.capacity_known())
         return "capacity of the restarted target is unknown";
     if (target.has_unknown_need())
         return "target runs an unknown task";
+    if (!leases_.may_grant(now))
+        return "another host may lead";
     return may_start(now) ? nullptr : "the view of targets or cancellations is too old";
 }
 
@@ -323,18 +329,11 @@
     }
 }
 
-void job_scheduler::note_lease(target_status& t, timestamp now) const
+void job_scheduler::note_lease(target_status& t, const granted_lease& lease, timestamp now) const
 {
-    t.lease_until = std::max(t.lease_until, lease_end(now));
+    t.lease_until = std::max(t.lease_until, lease.over_at);
     t.lease_granted_at = now;
-    t.lease_clock_age = now - t.clock_at;
-}
-
-timestamp job_scheduler::lease_end(timestamp granted_at) const
-{
-    const double length =
-        static_cast<double>(settings_.target_lease.count()) * (1.0 + 2.0 * settings_.clock_drift);
-    return granted_at + duration{static_cast<std::int64_t>(length)} + settings_.lease_margin;
+    t.lease_clock_age = now - t.clock->read_at;
 }
 
 } // namespace mjm
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -22,9 +22,7 @@
 
 void job_scheduler::set_clock(target_status& t, std::int64_t clock_ms, timestamp now)
 {
-    t.clock_known = true;
-    t.clock_ms = clock_ms;
-    t.clock_at = now;
+    t.clock = clock_reading{clock_ms, now};
 }
 
 task_run* job_scheduler::apply_answer(const target_id& target, const task_key& key, run_number run,
@@ -163,9 +161,13 @@
     t.ends_acknowledged = request.ends_acknowledged;
     // The lease of a target that fails to answer is not extended, so that the time by which its runs have
     // stopped stays fixed.
-    if (t.clock_known && !t.runs.empty() && t.missed_observations == 0 && t.reachable) {
-        request.deadline_ms = t.clock_at_time(now) + to_ms(settings_.target_lease);
-        note_lease(t, now);
+    if (t.clock && !t.runs.empty() && t.missed_observations == 0 && t.reachable) {
+        const std::optional<granted_lease> lease = leases_.grant(*t.clock, now);
+        request.lease_withheld = !lease;
+        if (lease) {
+            request.deadline_ms = lease->deadline_ms;
+            note_lease(t, *lease, now);
+        }
     }
     if (t.synced && t.reachable && !(t.runs.empty() && t.unknown_runs.empty()) && t.unstored.empty() &&
         t.ordered_down_at == timestamp{} && !has_stopped_run(t))
@@ -220,7 +222,7 @@
     log_event(scheduler_event::target_restarted, {}, nullptr, 0, t.info.id,
               std::to_string(t.info.incarnation) + " to " + std::to_string(incarnation));
     t.info.incarnation = incarnation;
-    t.clock_known = false;
+    t.clock.reset();
     t.ends_seen = 0;
     t.ends_acknowledged = 0;
     t.unstored.clear();
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -2,6 +2,7 @@
 
 #include "core/time_types.h"
 #include "jobs/crash_history.h"
+#include "jobs/lease_policy.h"
 #include "jobs/straggler.h"
 
 #include <cstdint>
@@ -9,22 +10,13 @@
 namespace mjm {
 
 struct scheduler_settings {
-    /// Lease of a target: the time for which it keeps running tasks without an extension by a leader. It is
-    /// longer than a change of leader takes, so that no change interrupts work. The platform's `hold-max-ms`
-    /// is the upper limit.
-    duration target_lease{std::chrono::milliseconds{4300}};
+    lease_settings leases;
     /// Largest age of the view of the targets with which a run may still start. Less than the time within
     /// which starts must end on a target that is draining.
     duration max_target_view_age{std::chrono::milliseconds{1500}};
     /// Largest age of the view of cancellations with which a run may still start. Less than the time within
     /// which a cancellation must take effect.
     duration max_cancel_view_age{std::chrono::milliseconds{2500}};
-    /// Longest lease that any leader may have granted; assumed for targets that have not answered yet.
-    duration longest_lease{std::chrono::milliseconds{6000}};
-    /// Fraction by which a target's clock may run slow, as specified by the platform's protocol.
-    double clock_drift = 0.02;
-    /// Margin after the end of a lease, for the time that answers and the termination of tasks take.
-    duration lease_margin{std::chrono::milliseconds{250}};
     /// Wait before a task is started again after its first failure; doubled with each further failure.
     duration failure_backoff{std::chrono::milliseconds{50}};
     /// Wait before an unanswered stop is sent again, doubled with each further one, and before a stop is
--- a/src/plugins/jobs/scheduler_stragglers.cpp
+++ b/src/plugins/jobs/scheduler_stragglers.cpp
@@ -71,7 +71,7 @@
         return settings_.observation_wait;
     // A target with a slow clock shows the age later.
     const duration left = duration{static_cast<std::int64_t>(static_cast<double>(bound->count()) *
-                                                             (1.0 + settings_.clock_drift))} -
+                                                             (1.0 + settings_.leases.clock_drift))} -
                           age;
     if (left.count() <= 0)
         return settings_.stall_recheck;
@@ -82,7 +82,7 @@
 
 duration job_scheduler::observation_wait(const target_status& t, timestamp now) const
 {
-    duration wait = settings_.observation_wait;
+    duration wait = std::min(settings_.observation_wait, leases_.longest_observation(now));
     if (t.suspected_runs > 0)
         wait = std::min(wait, settings_.crashes.probation / 2);
     if (!t.unknown_runs.empty())
--- a/src/plugins/jobs/target_orders.h
+++ b/src/plugins/jobs/target_orders.h
@@ -109,6 +109,7 @@
 /// An observation of a target, which may also extend the lease of its runs.
 struct lease_request {
     std::int64_t deadline_ms = 0; ///< New end of the lease, on the target's clock; 0 for no extension.
+    bool lease_withheld = false;  ///< Whether the lease is not extended because another host may lead.
     fencing_token token = 0;
     std::uint64_t ends_acknowledged = 0; ///< Ends up to this one are stored; the target may forget them.
     duration wait{0}; ///< Longest time for which the target delays its answer until a run ends.
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/lease_policy.h"
 #include "jobs/target_orders.h"
 
 #include <algorithm>
@@ -49,9 +50,7 @@
     /// lists them.
     unknown_run_map unknown_runs;
 
-    bool clock_known = false;
-    std::int64_t clock_ms = 0; ///< The target's clock at `clock_at`.
-    timestamp clock_at;
+    std::optional<clock_reading> clock; ///< Empty while the present incarnation has not answered.
     timestamp lease_until; ///< Latest time at which all its runs have stopped if the lease is not extended.
     /// When this leader last granted it a lease; the epoch if `lease_until` is what an earlier leader may
     /// have granted.
@@ -99,9 +98,6 @@
         const double level = used.dominant_fraction(info.capacity);
         return used.fits_in(info.capacity) ? level : std::max(level, 1.0);
     }
-    /// Returns an estimate of the target's clock at `now`. It lags behind by the time that the latest answer
-    /// was on the network.
-    [[nodiscard]] std::int64_t clock_at_time(timestamp now) const { return clock_ms + to_ms(now - clock_at); }
 };
 
 } // namespace mjm
--- a/src/plugins/jobs/tests/scheduler_fixture.cpp
+++ b/src/plugins/jobs/tests/scheduler_fixture.cpp
@@ -29,6 +29,7 @@
 {
     scheduler.set_config(make_config());
     scheduler.set_view_times(now_, now_);
+    scheduler.set_leader_lease(now_ + leader_lease);
 }
 
 target_info scheduler_fixture::info_of(const std::string& name, const std::string& service) const
@@ -93,6 +94,7 @@
     now_ += d;
     unix_ms_ += to_ms(d);
     scheduler.set_view_times(now_, now_);
+    scheduler.set_leader_lease(now_ + leader_lease);
     scheduler.tick(now());
     sort_commands(now());
 }
--- a/src/plugins/jobs/tests/scheduler_fixture.h
+++ b/src/plugins/jobs/tests/scheduler_fixture.h
@@ -15,6 +15,8 @@
 
 public:
     static constexpr fencing_token token = 7;
+    /// What is left of this leader's own lease, which is renewed all the time.
+    static constexpr std::chrono::milliseconds leader_lease{1700};
 
     scheduler_fixture();
 
