Bound leases by the drift of a target's clock since it was read

A task ran twice: the first start on a target that had been idle for 75 s granted 5.8 s in place of 4.3 s, as the estimate of its clock, 2% slow, had run ahead by 1.5 s. The target was then cut off, and the task was started elsewhere 1.2 s too early. The end of a lease counted the drift of the lease itself alone.

The end now counts the drift since the reading as well, the deadline never exceeds the longest lease on the slowest clock, and an idle target's clock is read again every 30 s, one observation each.

--- a/src/plugins/jobs/lease_policy.cpp
+++ b/src/plugins/jobs/lease_policy.cpp
@@ -8,12 +8,21 @@
 {
     if (!may_grant(now))
         return std::nullopt;
+    const duration age = now - clock.read_at;
+    const duration drift{static_cast<std::int64_t>(static_cast<double>(age.count()) * settings_.clock_drift)};
     const bool overdue = leader_lease_until_ - now < settings_.renewal_overdue;
-    const duration length = overdue ? settings_.longest : std::min(settings_.normal, settings_.longest);
-    // The reading lags behind by the time that the target's answer was on the network, which shortens the
-    // lease.
-    const std::int64_t clock_ms = clock.shown_ms + to_ms(now - clock.read_at);
-    return granted_lease{clock_ms + to_ms(length), now + longest_time_for(length) + settings_.margin};
+    // On the slowest clock, the lease is longer by the drift since the reading; it must not exceed the
+    // longest one even so. The reading lags behind by the time that the answer was on the network, which
+    // shortens the lease.
+    const duration length =
+        std::min(overdue ? settings_.longest : settings_.normal, settings_.longest - drift);
+    return granted_lease{clock.shown_ms + to_ms(age + length),
+                         clock.read_at + longest_time_for(age + length) + settings_.margin};
+}
+
+bool lease_policy::too_old(const clock_reading& clock, timestamp now) const
+{
+    return now - clock.read_at > settings_.longest_clock_age;
 }
 
 timestamp lease_policy::earlier_leases_over_at() const
--- a/src/plugins/jobs/lease_policy.h
+++ b/src/plugins/jobs/lease_policy.h
@@ -20,6 +20,8 @@
     /// Time before the end of the leader's lease by which observations are answered, so that each is followed
     /// by another extension.
     duration last_extension{std::chrono::milliseconds{500}};
+    /// Age of the reading of an idle target's clock at which the clock is read again.
+    duration longest_clock_age{std::chrono::seconds{30}};
     /// Fraction by which a target's clock may run slow, as specified by the platform's protocol.
     double clock_drift = 0.02;
     /// Margin after the end of a lease, for the time that answers and the termination of tasks take.
@@ -52,6 +54,8 @@
     [[nodiscard]] bool may_grant(timestamp now) const { return now < leader_lease_until_; }
     /// Returns the lease that a target with this clock gets, or no value if another host may lead by now.
     [[nodiscard]] std::optional<granted_lease> grant(const clock_reading& clock, timestamp now) const;
+    /// Whether the target's clock has to be read again, since it may have drifted.
+    [[nodiscard]] bool too_old(const clock_reading& clock, timestamp now) const;
     /// Returns the latest time at which all runs under leases of earlier leaders have ended.
     [[nodiscard]] timestamp earlier_leases_over_at() const;
     /// Returns the longest time for which the answer to an observation may be delayed.
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -133,8 +133,9 @@
     for (const auto& [id, t] : targets_) {
         if (t.observing || now < t.next_observation)
             continue;
+        const bool clock_too_old = t.clock && leases_.too_old(*t.clock, now);
         if (!t.synced || !t.reachable || !t.runs.empty() || !t.unknown_runs.empty() ||
-            t.ends_acknowledged < t.ends_seen)
+            t.ends_acknowledged < t.ends_seen || clock_too_old)
             out.push_back(id);
     }
     return out;
--- a/src/plugins/jobs/tests/tst_target_leases.cpp
+++ b/src/plugins/jobs/tests/tst_target_leases.cpp
@@ -126,5 +126,39 @@
     CHECK(p.longest_observation(start + 1500ms) == settings.last_extension);
     REQUIRE(p.grant({}, start));
     CHECK(p.grant({0, start}, start)->deadline_ms == to_ms(settings.normal));
-    CHECK(p.grant({0, start}, start + 800ms)->deadline_ms == 800 + to_ms(settings.longest));
+    CHECK(p.grant({800, start + 800ms}, start + 800ms)->deadline_ms == 800 + to_ms(settings.longest));
+}
+
+TEST_CASE("a lease that is based on an old reading of a slow clock is over when the leader believes so")
+{
+    const lease_settings settings;
+    const timestamp start{1h};
+    const clock_reading clock{5000, start};
+    for (const duration age : {duration{0}, duration{1s}, duration{30s}, duration{75s}, duration{200s}}) {
+        CAPTURE(to_ms(age));
+        lease_policy p{settings, start};
+        p.set_leader_lease(start + age + 1s);
+        const std::optional<granted_lease> lease = p.grant(clock, start + age);
+        REQUIRE(lease);
+        // When the clock shows the deadline if it is as slow as allowed.
+        const double shown_ms = static_cast<double>(lease->deadline_ms - clock.shown_ms);
+        const timestamp over =
+            start + duration{static_cast<std::int64_t>(shown_ms * 1000.0 / (1.0 - settings.clock_drift))};
+        CHECK(over + settings.margin - 2ms <= lease->over_at);
+        lease_policy next{settings, start + age};
+        CHECK(lease->over_at <= next.earlier_leases_over_at() + 2ms);
+    }
+}
+
+TEST_CASE("the clock of an idle target is read again before it may have drifted far")
+{
+    scheduler_fixture f;
+    const target_id t = f.add_target("t");
+    CHECK(f.scheduler.due_observations(f.now().now).empty());
+    f.advance(29s);
+    CHECK(f.scheduler.due_observations(f.now().now).empty());
+    f.advance(2s);
+    CHECK(f.scheduler.due_observations(f.now().now) == std::vector<target_id>{t});
+    f.report(t, {});
+    CHECK(f.scheduler.due_observations(f.now().now).empty());
 }
