Store how long a silent target's lease may still last

Tasks that last had no run for 12.7 s after their target was lost, with room for them, when the leader was restarted twice meanwhile (LOST): each new leader counted the longest lease from its own start, and waited again for runs that its predecessor had discarded already.

The leader now stores, with its transactions of progress, how long the lease of each silent target with runs may still last, at most once a second and not at all in calm; a next leader goes on with that wait. Waits are stored instead of points in time, since clocks differ or are set. A target that answers again is extended and started on only when the store has removed its wait, since a next leader would go by it. Discarded runs are stored as such.

--- a/src/plugins/jobs/job_keys.h
+++ b/src/plugins/jobs/job_keys.h
@@ -29,6 +29,9 @@
 /// Orders that may have been sent to hosts, see `host_order_record`.
 inline constexpr std::string_view host_orders = "mjm/hosts/orders";
 
+/// Waits for the leases of silent targets, see `lease_waits`.
+inline constexpr std::string_view lease_waits = "mjm/hosts/lease-waits";
+
 /// Returns the key of a job below `prefix`.
 [[nodiscard]] inline std::string of(std::string_view prefix, const job_id& id)
 {
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -40,9 +40,11 @@
       journal_{services_.store,
                services_.time,
                token,
-               {[this](const std::vector<progress_write>& writes) {
+               {[this](const journal_batch& batch) {
                     update_limits();
-                    scheduler_.on_stored(writes, now());
+                    if (batch.waits)
+                        scheduler_.on_waits_stored(*batch.waits);
+                    scheduler_.on_stored(batch.progress, now());
                     request_pass();
                 },
                 [this](const std::string& why) {
@@ -133,6 +135,7 @@
                                  next_load_ = services_.time.now() + settings_.retry;
                                  return;
                              }
+                             restore_lease_waits(page->entries);
                              if (hosts_)
                                  restore_hosts(page->entries);
                              follow_inbox();
@@ -160,6 +163,18 @@
     hosts_->restore(std::move(records), orders, orders_revision);
 }
 
+void job_leader::restore_lease_waits(const std::vector<kv_entry>& entries)
+{
+    for (const kv_entry& e : entries) {
+        if (e.key != job_keys::lease_waits)
+            continue;
+        if (const std::optional<lease_waits> waits = decode_lease_waits(e.value))
+            scheduler_.restore_lease_waits(*waits);
+        else
+            services_.log.error("lease_waits_unreadable", {{"revision", e.revision}});
+    }
+}
+
 void job_leader::follow_inbox()
 {
     prefix_watch::handler h;
@@ -348,8 +363,9 @@
     update_limits();
     if (journal_.idle()) {
         scheduler_.plan(now());
-        if (scheduler_.has_unstored())
-            journal_.write(scheduler_.unstored(progress_journal::capacity()));
+        std::optional<lease_waits> waits = scheduler_.take_unstored_waits(services_.time.now());
+        if (scheduler_.has_unstored() || waits)
+            journal_.write({scheduler_.unstored(progress_journal::capacity()), std::move(waits)});
     }
     for (const target_command& command : scheduler_.take_commands(now()))
         send(command);
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -177,7 +177,8 @@
                            t.info.service == info.service && t.info.capacity == info.capacity &&
                            t.registered_incarnation == info.incarnation;
     if (added) {
-        t.lease_until = leases_.earlier_leases_over_at();
+        t.lease_until = leases_.earlier_leases_over_at(info.id);
+        t.lease_wait_stored = stored_waits_.contains(info.id);
         t.next_observation = time.now;
         t.info.id = info.id;
         account_restored_runs(t);
@@ -309,6 +310,9 @@
     const task_key key{open.state->id(), p};
     release_capacity(open, p, run);
     t.run.reset();
+    // The store must not keep the run, or each next leader would wait for it again.
+    if (run.planned_change <= open.state->stored_change)
+        mark_changed(*open.state);
     log_event(scheduler_event::run_discarded, key.job, &key, run.number, run.target, reason);
     after_change(open, time);
 }
@@ -467,12 +471,21 @@
 
 void job_scheduler::check_runs(scheduler_time time)
 {
+    silent_targets_.clear();
+    for (const auto& [id, t] : targets_) {
+        const bool silent = !t.reachable || (t.lease_wait_stored && !t.synced);
+        if (silent && !t.runs.empty())
+            note_silent_target(id, t.lease_until);
+    }
     for_tasks_with_runs([&](open_job& open, const task_position& p, task& t) {
         if (t.run->order_pending)
             return;
         // The run was restored from the store, and its target has not been listed since.
         if (!t.run->on_known_target) {
-            if (time.now > leases_.earlier_leases_over_at()) {
+            const timestamp over_at = leases_.earlier_leases_over_at(t.run->target);
+            if (time.now <= over_at)
+                note_silent_target(t.run->target, over_at);
+            else {
                 const lost_run lost{{open.state->id(), p}, t.run->number, true};
                 if (t.run->on_probation)
                     note_unresolved(open, lost, t.run->target, time);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -186,6 +186,11 @@
     [[nodiscard]] bool has_unstored() const { return !dirty_.empty(); }
     /// Returns the progress of at most `most` jobs with changes that the store does not have.
     [[nodiscard]] std::vector<progress_write> unstored(std::size_t most) const;
+    /// Sets the waits for silent targets that an earlier leader has stored. Must precede all orders.
+    void restore_lease_waits(const lease_waits& waits);
+    /// Returns the waits for silent targets if they are to be stored.
+    [[nodiscard]] std::optional<lease_waits> take_unstored_waits(timestamp now);
+    void on_waits_stored(const lease_waits& waits);
     /// Handles the store's confirmation of these writes: planned runs start, and ends are acknowledged to
     /// targets.
     void on_stored(const std::vector<progress_write>& writes, scheduler_time time);
@@ -363,8 +368,14 @@
     [[nodiscard]] std::map<target_id, resources> capacity_for_starts() const;
     /// Returns why the start must not be sent any more, or null if it may be.
     [[nodiscard]] const char* obstacle_to_sending(const start_command& start, timestamp now) const;
+
+    // scheduler_leases.cpp
     /// Notes that the target's lease is granted or extended.
     void note_lease(target_status& t, const granted_lease& lease, timestamp now) const;
+    /// Notes that the store may have a wait for the target's lease. Until it is removed there, the lease must
+    /// not be extended, since a next leader would not know.
+    void set_wait_stored(const target_id& id);
+    void note_silent_target(const target_id& id, timestamp lease_over_at);
 
     // scheduler_crashes.cpp
     struct target_loss {
@@ -476,6 +487,9 @@
     const scheduler_settings settings_;
     const fencing_token token_;
     lease_policy leases_;
+    std::map<target_id, timestamp> silent_targets_; ///< With runs; and when their leases are over.
+    std::set<target_id> stored_waits_;              ///< Targets for which the store may have a wait.
+    timestamp next_waits_write_;
     const log_handler log_handler_;
     std::shared_ptr<const fleet_config> config_;
     std::map<job_id, open_job> jobs_;
--- a/src/plugins/jobs/lease_policy.cpp
+++ b/src/plugins/jobs/lease_policy.cpp
@@ -25,9 +25,11 @@
     return now - clock.read_at > settings_.longest_clock_age;
 }
 
-timestamp lease_policy::earlier_leases_over_at() const
+timestamp lease_policy::earlier_leases_over_at(const target_id& target) const
 {
-    return term_start_ + longest_time_for(settings_.longest) + settings_.margin;
+    const duration longest = longest_time_for(settings_.longest) + settings_.margin;
+    const auto stored = earlier_waits_.find(target);
+    return term_start_ + (stored == earlier_waits_.end() ? longest : std::min(stored->second, longest));
 }
 
 duration lease_policy::longest_observation(timestamp now) const
--- a/src/plugins/jobs/lease_policy.h
+++ b/src/plugins/jobs/lease_policy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_types.h"
+#include "jobs/lease_waits.h"
 
 #include <chrono>
 #include <cstdint>
@@ -56,8 +57,10 @@
     [[nodiscard]] std::optional<granted_lease> grant(const clock_reading& clock, timestamp now) const;
     /// Whether the target's clock has to be read again, since it may have drifted.
     [[nodiscard]] bool too_old(const clock_reading& clock, timestamp now) const;
-    /// Returns the latest time at which all runs under leases of earlier leaders have ended.
-    [[nodiscard]] timestamp earlier_leases_over_at() const;
+    /// Sets the stored wait for the lease of a target that was silent under an earlier leader.
+    void set_earlier_wait(const target_id& target, duration wait) { earlier_waits_[target] = wait; }
+    /// Returns the latest time at which all runs on the target under leases of earlier leaders have ended.
+    [[nodiscard]] timestamp earlier_leases_over_at(const target_id& target) const;
     /// Returns the longest time for which the answer to an observation may be delayed.
     [[nodiscard]] duration longest_observation(timestamp now) const;
 
@@ -68,6 +71,7 @@
     lease_settings settings_;
     timestamp term_start_;
     timestamp leader_lease_until_;
+    lease_waits earlier_waits_;
 };
 
 } // namespace mjm
--- a/src/plugins/jobs/progress_journal.cpp
+++ b/src/plugins/jobs/progress_journal.cpp
@@ -11,8 +11,9 @@
 
 // Pause after a failed transaction, so that a failing store is not loaded further.
 constexpr std::chrono::milliseconds retry_pause{50};
-// Entries of a transaction besides the progress: two conditions and the write of the journal key.
-constexpr std::size_t overhead_entries = 3;
+// Entries of a transaction besides the progress: two conditions and the writes of the journal key and of the
+// waits for silent targets.
+constexpr std::size_t overhead_entries = 4;
 
 /// Returns 0 if the text is not a number. Restarting the sequence is safe, since the journal key's revision
 /// guards the writes.
@@ -52,7 +53,7 @@
     [[nodiscard]] bool idle() const { return open_ && !busy_ && time_.now() >= not_before_; }
     void end() { ended_ = true; }
 
-    void write(std::vector<progress_write> writes)
+    void write(journal_batch batch)
     {
         busy_ = true;
         const std::uint64_t sequence = ++sequence_;
@@ -60,9 +61,12 @@
         t.expected.emplace_back(std::string{job_keys::leader}, token_);
         t.expected.emplace_back(std::string{job_keys::journal}, revision_);
         t.writes.push_back({std::string{job_keys::journal}, std::to_string(sequence), std::nullopt, 0});
-        for (const progress_write& w : writes)
+        for (const progress_write& w : batch.progress)
             t.writes.push_back({job_keys::of(job_keys::progress, w.job), w.text, std::nullopt, 0});
-        unanswered_[sequence] = std::move(writes);
+        if (batch.waits)
+            t.writes.push_back(
+                {std::string{job_keys::lease_waits}, encode_lease_waits(*batch.waits), std::nullopt, 0});
+        unanswered_[sequence] = std::move(batch);
         store_.commit(std::move(t), [self = shared_from_this(), sequence](
                                         const tl::expected<store_revision, transaction_error>& result) {
             if (!self->ended_)
@@ -96,9 +100,9 @@
     void complete(std::uint64_t sequence, store_revision revision)
     {
         revision_ = revision;
-        const std::vector<progress_write> writes = std::move(unanswered_[sequence]);
+        const journal_batch batch = std::move(unanswered_[sequence]);
         unanswered_.clear();
-        handler_.on_stored(writes);
+        handler_.on_stored(batch);
     }
 
     void on_conflict(const std::vector<kv_entry>& current)
@@ -132,7 +136,7 @@
     const fencing_token token_;
     const handler handler_;
     /// Transactions that may have taken effect, by sequence number.
-    std::map<std::uint64_t, std::vector<progress_write>> unanswered_;
+    std::map<std::uint64_t, journal_batch> unanswered_;
     store_revision revision_ = 0;
     std::uint64_t sequence_ = 0;
     timestamp not_before_;
@@ -168,9 +172,9 @@
     return max_transaction_entries - overhead_entries;
 }
 
-void progress_journal::write(std::vector<progress_write> writes)
+void progress_journal::write(journal_batch batch)
 {
-    impl_->write(std::move(writes));
+    impl_->write(std::move(batch));
 }
 
 } // namespace mjm
--- a/src/plugins/jobs/progress_journal.h
+++ b/src/plugins/jobs/progress_journal.h
@@ -8,11 +8,18 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace mjm {
 
+/// What one transaction writes.
+struct journal_batch {
+    std::vector<progress_write> progress;
+    std::optional<lease_waits> waits; ///< Waits for silent targets; empty if they are not to be written.
+};
+
 /// Writes the progress of jobs to the store, one transaction at a time. Each transaction is conditional on
 /// the leader key and on the journal key as written by the previous transaction, so that neither a former
 /// leader nor a transaction that the store executes late can overwrite newer progress.
@@ -20,7 +27,7 @@
 public:
     struct handler {
         /// The store has these writes.
-        std::function<void(const std::vector<progress_write>&)> on_stored;
+        std::function<void(const journal_batch&)> on_stored;
         /// Another leader has taken over, for the given reason; this one must stop.
         std::function<void(const std::string&)> on_superseded;
         /// The store stopped answering, or answers again.
@@ -39,7 +46,7 @@
     /// Returns the largest number of progress entries that one `write` takes.
     [[nodiscard]] static std::size_t capacity();
     /// Writes the entries in one transaction. Only allowed while `idle`.
-    void write(std::vector<progress_write> writes);
+    void write(journal_batch batch);
 
 private:
     class impl;
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -247,6 +247,8 @@
         return "capacity of the restarted target is unknown";
     if (target.has_unknown_need())
         return "target runs an unknown task";
+    if (target.lease_wait_stored)
+        return "the store has a wait for the target's lease";
     if (!leases_.may_grant(now))
         return "another host may lead";
     return may_start(now) ? nullptr : "the view of targets or cancellations is too old";
@@ -329,11 +331,4 @@
     }
 }
 
-void job_scheduler::note_lease(target_status& t, const granted_lease& lease, timestamp now) const
-{
-    t.lease_until = std::max(t.lease_until, lease.over_at);
-    t.lease_granted_at = now;
-    t.lease_clock_age = now - t.clock->read_at;
-}
-
 } // namespace mjm
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -162,7 +162,7 @@
     t.ends_acknowledged = request.ends_acknowledged;
     // The lease of a target that fails to answer is not extended, so that the time by which its runs have
     // stopped stays fixed.
-    if (t.clock && !t.runs.empty() && t.missed_observations == 0 && t.reachable) {
+    if (t.clock && !t.runs.empty() && t.missed_observations == 0 && t.reachable && !t.lease_wait_stored) {
         const std::optional<granted_lease> lease = leases_.grant(*t.clock, now);
         request.lease_withheld = !lease;
         if (lease) {
@@ -189,6 +189,7 @@
     }
     const bool newly_usable = !t->reachable || !t->synced;
     t->missed_observations = 0;
+    silent_targets_.erase(target);
     if (!t->reachable) {
         t->reachable = true;
         log_event(scheduler_event::target_reachable, {}, nullptr, 0, target, {}, to_ms(time.now - sent_at));
@@ -262,6 +263,8 @@
     ++t.missed_observations;
     if (t.reachable && t.missed_observations >= settings_.misses_until_unreachable) {
         t.reachable = false;
+        if (!t.runs.empty())
+            note_silent_target(t.info.id, t.lease_until);
         log_event(scheduler_event::target_unreachable, {}, nullptr, 0, t.info.id, std::string{name_of(ec)},
                   t.missed_observations);
     }
--- a/src/plugins/jobs/tests/tst_job_store.cpp
+++ b/src/plugins/jobs/tests/tst_job_store.cpp
@@ -28,8 +28,8 @@
         token = store.find(std::string{job_keys::leader})->revision;
         journal = std::make_unique<progress_journal>(
             link, loop.time(), token,
-            progress_journal::handler{[this](const std::vector<progress_write>& writes) {
-                                          for (const progress_write& w : writes)
+            progress_journal::handler{[this](const journal_batch& batch) {
+                                          for (const progress_write& w : batch.progress)
                                               stored.push_back(w.change);
                                       },
                                       [this](const std::string& why) { superseded = why; },
@@ -40,7 +40,7 @@
     void write(std::uint64_t change)
     {
         REQUIRE(journal->idle());
-        journal->write({{job_id{"j"}, change, "change " + std::to_string(change)}});
+        journal->write({{{job_id{"j"}, change, "change " + std::to_string(change)}}, {}});
     }
     [[nodiscard]] std::string value()
     {
--- a/src/plugins/jobs/tests/tst_target_leases.cpp
+++ b/src/plugins/jobs/tests/tst_target_leases.cpp
@@ -1,4 +1,5 @@
 #include "fleet_simulation.h"
+#include "jobs/job_codec.h"
 #include "scheduler_fixture.h"
 
 #include <catch2/catch.hpp>
@@ -17,6 +18,13 @@
     CHECK(f.fleet.violations.empty());
 }
 
+std::size_t planned_runs(const scheduler_fixture& f)
+{
+    return static_cast<std::size_t>(
+        std::count_if(f.log_entries.begin(), f.log_entries.end(),
+                      [](const scheduler_log_entry& n) { return n.event == scheduler_event::run_planned; }));
+}
+
 /// Permanent tasks and tasks that end run on all hosts while a zone is cut off with the leader in it.
 struct leader_cut_with_zone {
     leader_cut_with_zone()
@@ -85,8 +93,9 @@
     const lease_request request = f.scheduler.begin_observation(t, f.now().now);
     CHECK(request.deadline_ms == 0);
     CHECK(request.lease_withheld);
+    const std::size_t planned = planned_runs(f);
     f.scheduler.plan(f.now());
-    CHECK_FALSE(f.scheduler.has_unstored());
+    CHECK(planned_runs(f) == planned);
 }
 
 TEST_CASE("a start that waits to be sent is withdrawn when the leader's lease is over")
@@ -112,7 +121,7 @@
     CHECK(last->deadline_ms == 1000 + to_ms(settings.longest));
     CHECK_FALSE(earlier.grant(clock, start));
     lease_policy next{settings, start};
-    CHECK(last->over_at <= next.earlier_leases_over_at());
+    CHECK(last->over_at <= next.earlier_leases_over_at(target_id{"t"}));
     CHECK_FALSE(next.grant(clock, start));
 }
 
@@ -146,7 +155,7 @@
             start + duration{static_cast<std::int64_t>(shown_ms * 1000.0 / (1.0 - settings.clock_drift))};
         CHECK(over + settings.margin - 2ms <= lease->over_at);
         lease_policy next{settings, start + age};
-        CHECK(lease->over_at <= next.earlier_leases_over_at() + 2ms);
+        CHECK(lease->over_at <= next.earlier_leases_over_at(target_id{"t"}) + 2ms);
     }
 }
 
@@ -162,3 +171,76 @@
     f.report(t, {});
     CHECK(f.scheduler.due_observations(f.now().now).empty());
 }
+
+TEST_CASE("changes of leader in series don't make the wait for a silent target longer")
+{
+    fleet_simulation f{6};
+    f.run_for(1s);
+    f.submit("serving", 6, true);
+    f.run_for(2s);
+    REQUIRE(f.fleet.running(job_id{"serving"}) == 6);
+    const std::size_t on_lost = f.fleet.running_on("h0").size();
+    REQUIRE(on_lost > 0);
+    f.fleet.crash("h0");
+    for (const duration term : {duration{1s}, duration{5s}}) {
+        f.run_for(term);
+        REQUIRE(f.leader() != nullptr);
+        f.leader()->node->resign();
+    }
+    f.run_for(3500ms);
+    CHECK(f.fleet.running(job_id{"serving"}) == 6);
+    check_no_violations(f);
+}
+
+TEST_CASE("a run that was lost is not waited for again by the next leader")
+{
+    scheduler_fixture f;
+    const target_id t = f.add_target("t");
+    const std::vector<start_command> starts = f.run_job("j", 1);
+    f.scheduler.on_stored(f.scheduler.unstored(10), f.now());
+    f.miss(t);
+    f.miss(t);
+    f.advance(8s);
+    REQUIRE(f.scheduler.has_unstored());
+    const std::vector<progress_write> writes = f.scheduler.unstored(10);
+    REQUIRE(writes.size() == 1);
+    job restored{f.record_of("j", 1)};
+    REQUIRE(restore_progress(restored, writes.front().text));
+    CHECK_FALSE(restored.at({0, 0, 0}).run);
+    CHECK(restored.at({0, 0, 0}).last_run == starts.front().order.run);
+}
+
+TEST_CASE("a lease is not extended while the store has a shorter wait for its end")
+{
+    scheduler_fixture f;
+    const target_id t = f.add_target("t");
+    const std::vector<start_command> starts = f.run_job("j", 1);
+    f.miss(t);
+    f.miss(t);
+    const std::optional<lease_waits> waits = f.scheduler.take_unstored_waits(f.now().now);
+    REQUIRE(waits);
+    REQUIRE(waits->contains(t));
+    CHECK_FALSE(f.scheduler.take_unstored_waits(f.now().now));
+    f.advance(1s);
+    const std::optional<lease_waits> later = f.scheduler.take_unstored_waits(f.now().now);
+    REQUIRE(later);
+    CHECK(later->at(t) + 1s == waits->at(t));
+    f.report(t, {running(starts.front())});
+    CHECK(f.scheduler.begin_observation(t, f.now().now).deadline_ms == 0);
+    const std::optional<lease_waits> none = f.scheduler.take_unstored_waits(f.now().now);
+    REQUIRE(none);
+    CHECK(none->empty());
+    CHECK(f.scheduler.begin_observation(t, f.now().now).deadline_ms == 0);
+    f.scheduler.on_waits_stored(*none);
+    CHECK(f.scheduler.begin_observation(t, f.now().now).deadline_ms != 0);
+}
+
+TEST_CASE("stored waits for leases survive encoding, and an unreadable record is told as such")
+{
+    const lease_waits waits{{target_id{"a"}, 1500ms}, {target_id{"b"}, 0ms}};
+    CHECK(decode_lease_waits(encode_lease_waits(waits)) == waits);
+    CHECK(decode_lease_waits(encode_lease_waits({{target_id{"a"}, 1001us}})) ==
+          lease_waits{{target_id{"a"}, 2ms}});
+    for (const char* text : {"", "[]", "{\"a\":-1}", "{\"a\":\"1\"}", "{\"a\":1.5}"})
+        CHECK_FALSE(decode_lease_waits(text));
+}
