Play random cuts of zones in the simulated fleet

The new runs cut mostly the leader's zone, for 0.5 to 16 s, with hosts killed meanwhile, late orders and lost answers.

--- a/src/plugins/jobs/tests/tst_target_leases.cpp
+++ b/src/plugins/jobs/tests/tst_target_leases.cpp
@@ -244,3 +244,53 @@
     for (const char* text : {"", "[]", "{\"a\":-1}", "{\"a\":\"1\"}", "{\"a\":1.5}"})
         CHECK_FALSE(decode_lease_waits(text));
 }
+
+// Zones are cut off one after the other, mostly that of the leader, for less or more than a lease, beside
+// changes of leader in series, late orders and lost answers.
+TEST_CASE("under random cuts of zones no task runs twice and all accepted jobs complete", "[random]")
+{
+    const std::uint64_t first_seed = environment_number("MJM_FIRST_SEED", 1);
+    const std::uint64_t seeds = environment_number("MJM_SEEDS", 10);
+    for (std::uint64_t seed = first_seed; seed < first_seed + seeds; ++seed) {
+        CAPTURE(seed);
+        fleet_simulation f{seed};
+        f.fleet.late_orders = 0.02;
+        f.fleet.lost_answers = 0.03;
+        f.run_for(1s);
+        f.submit("serving", 6, true);
+        for (int round = 0; round < 12; ++round) {
+            for (int i = 0; i < 3; ++i)
+                f.submit("j" + std::to_string(3 * round + i),
+                         1 + static_cast<std::uint32_t>(f.random.below(6)));
+            f.run_for(duration{std::chrono::milliseconds{200 + f.random.below(2000)}});
+            entry_host* cut = f.leader();
+            if (cut == nullptr || f.random.chance(0.3))
+                cut = f.hosts[f.random.below(f.hosts.size())].get();
+            const std::uint64_t first = f.random.below(6);
+            f.cut_zone(*cut, {"h" + std::to_string(first), "h" + std::to_string((first + 1) % 6)});
+            const std::uint64_t steps = 1 + f.random.below(8);
+            for (std::uint64_t i = 0; i < steps; ++i) {
+                f.run_for(duration{std::chrono::milliseconds{500 + f.random.below(1500)}});
+                entry_host& other = *f.hosts[f.random.below(f.hosts.size())];
+                if (f.random.chance(0.2))
+                    other.kill();
+                if (!other.node)
+                    other.start(f.config, f.waves);
+            }
+            f.mend_zone();
+        }
+        f.fleet.late_orders = 0.0;
+        f.fleet.lost_answers = 0.0;
+        for (const std::unique_ptr<entry_host>& h : f.hosts) {
+            if (!h->node)
+                h->start(f.config, f.waves);
+        }
+        f.run_for(60s);
+        check_no_violations(f);
+        CHECK(f.fleet.running(job_id{"serving"}) == 6);
+        for (const std::string& id : f.accepted) {
+            CAPTURE(id);
+            CHECK((id == "serving" || f.completed(id)));
+        }
+    }
+}
