Renew the leader's lease without waiting for late answers

With leases granted only while the leader's own lease is confirmed, a store whose answers are late would end all running work although nobody else can lead: renewals waited for each other, and an answer later than 0.9 s was dropped.

A renewal is now sent each 0.5 s whether or not earlier ones are answered, each counts from its own sending, and answers are awaited for 1.7 s. The new case (answers 1.1 s late) fails on the former code, which doubted its lease by 0.26 s, and fails if the lease counts from the answer. Answers later than 1.7 s confirm nothing; then work ends as in an outage of the store (docs/design-platform.md).

--- a/src/plugins/jobs/leadership.cpp
+++ b/src/plugins/jobs/leadership.cpp
@@ -47,7 +47,7 @@
                 reported_valid_ = false;
                 on_event_(leadership_event::lease_unconfirmed, "the lease was not renewed in time");
             }
-            if (!busy_ && now >= next_renewal_)
+            if (now >= next_renewal_)
                 renew();
         } else if (leader_missing_ && !busy_ && !resigned_ && now >= not_before_) {
             acquire();
@@ -117,16 +117,17 @@
 
     void check_key()
     {
-        store_.get(settings_.key, [self = shared_from_this()](const tl::expected<kv_entry, store_errc>& e) {
-            if (self->ended_ || !self->leading_)
-                return;
-            if (!e && e.error() == store_errc::not_found) {
-                self->lose("the lease has expired");
-                self->leader_missing_ = true;
-            } else if (e) {
-                self->on_key(*e);
-            }
-        });
+        store_.get(settings_.key,
+                   [self = shared_from_this(), token = token_](const tl::expected<kv_entry, store_errc>& e) {
+                       if (self->ended_ || !self->leading_ || self->token_ != token)
+                           return;
+                       if (!e && e.error() == store_errc::not_found) {
+                           self->lose("the lease has expired");
+                           self->leader_missing_ = true;
+                       } else if (e) {
+                           self->on_key(*e);
+                       }
+                   });
     }
 
     void acquire()
@@ -193,19 +194,19 @@
         on_event_(leadership_event::gained, "token " + std::to_string(token_));
     }
 
+    /// Does not wait for earlier renewals, since an answer that comes late confirms less of the lease.
     void renew()
     {
-        busy_ = true;
         const timestamp requested_at = time_.now();
         next_renewal_ = requested_at + settings_.renew_interval;
         store_.renew_lease(lease_, [self = shared_from_this(), requested_at,
                                     token = token_](const tl::expected<void, store_errc>& result) {
-            self->busy_ = false;
             if (self->ended_ || !self->leading_ || self->token_ != token)
                 return;
             if (result) {
-                self->valid_until_ = requested_at + self->settings_.ttl - self->settings_.margin;
-                if (!self->reported_valid_) {
+                self->valid_until_ =
+                    std::max(self->valid_until_, requested_at + self->settings_.ttl - self->settings_.margin);
+                if (!self->reported_valid_ && self->time_.now() < self->valid_until_) {
                     self->reported_valid_ = true;
                     self->on_event_(leadership_event::lease_confirmed, {});
                 }
--- a/src/plugins/jobs/tests/tst_job_store.cpp
+++ b/src/plugins/jobs/tests/tst_job_store.cpp
@@ -153,6 +153,26 @@
     CHECK(seen == std::vector<std::string>{"p/b", "p/c", "p/d", "p/e", "p/f", "p/g"});
 }
 
+TEST_CASE("late answers to renewals confirm the lease from when the renewals were sent")
+{
+    virtual_loop loop;
+    fake_transaction_store store{loop};
+    candidate c{loop, store, "a", 1};
+    loop.run_for(1s, [&] { c.election.tick(); });
+    REQUIRE(c.election.leading());
+    const leadership_settings settings;
+    const duration late = 1100ms;
+    c.link.answer_delay = late;
+    loop.run_for(2s, [&] { c.election.tick(); });
+    loop.run_for(10s, [&] {
+        c.election.tick();
+        const duration left = c.election.lease_until() - loop.time().now();
+        REQUIRE(left <= settings.ttl - settings.margin - late);
+        REQUIRE(left > duration{0});
+    });
+    CHECK(c.election.leading());
+}
+
 TEST_CASE("one candidate leads at a time, and another takes over when it is cut off or resigns")
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
