Keep a target until the store has its ends, and stop nothing that can't be started again

A target that was unlisted for longer than its lease was forgotten with ends that the store did not have yet; listed again, it repeated them, they were taken as handled, and acknowledged. A leader lost then would have let the task run again after its end (TWICE). And a leader whose own lease was over still stopped stalled runs, and runs on draining targets, in order to start them elsewhere, which it can't.

A third case guards the wait for a run on a target that is never listed.

--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -421,6 +421,9 @@
 
 void job_scheduler::move_off_draining_targets(scheduler_time time)
 {
+    // A leader that may have been replaced can't start the tasks elsewhere.
+    if (!leases_.may_grant(time.now))
+        return;
     // All runs of a draining target end with it, so tasks that do not end by themselves move now.
     for (auto& [id, t] : targets_) {
         if (t.info.state != target_state::draining || !t.reachable)
@@ -444,7 +447,7 @@
     }
     std::erase_if(targets_, [&](const auto& entry) {
         const target_status& t = entry.second;
-        if (t.listed || !t.runs.empty() || t.observing || time.now <= t.lease_until)
+        if (t.listed || !t.runs.empty() || !t.unstored.empty() || t.observing || time.now <= t.lease_until)
             return false;
         targets_by_service_[t.info.service].erase(entry.first);
         return true;
--- a/src/plugins/jobs/scheduler_stragglers.cpp
+++ b/src/plugins/jobs/scheduler_stragglers.cpp
@@ -104,7 +104,8 @@
         if (id != t.run->target)
             others.push_back(other);
     }
-    if (choose_target(placement_of(open, p), others, time.now) == nullptr)
+    // A leader that may have been replaced can't start the task elsewhere.
+    if (!leases_.may_grant(time.now) || choose_target(placement_of(open, p), others, time.now) == nullptr)
         return;
     t.moved_as_straggler = true;
     t.avoided_target = here.info.id;
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -53,8 +53,8 @@
     std::optional<clock_reading> clock; ///< Empty while the present incarnation has not answered.
     timestamp lease_until; ///< Latest time at which all its runs have stopped if the lease is not extended.
     bool lease_wait_stored = false; ///< Whether the store may have a wait for the end of its lease.
-    /// When this leader last granted it a lease; the epoch if `lease_until` is what an earlier leader may
-    /// have granted.
+    /// When this leader granted the lease that is over at `lease_until`; the epoch if an earlier leader may
+    /// have granted it.
     timestamp lease_granted_at;
     duration lease_clock_age{0}; ///< Age of the reading of the target's clock on which that lease was based.
 
--- a/src/plugins/jobs/tests/tst_target_leases.cpp
+++ b/src/plugins/jobs/tests/tst_target_leases.cpp
@@ -235,6 +235,58 @@
     CHECK(f.scheduler.begin_observation(t, f.now().now).deadline_ms != 0);
 }
 
+TEST_CASE("a run on a target that is never listed is not started again before leases of earlier leaders end")
+{
+    scheduler_fixture f;
+    f.add_target("other");
+    job stored{f.record_of("j", 1)};
+    task_run run;
+    run.number = 1;
+    run.target = target_id{"unlisted"};
+    stored.at({0, 0, 0}).last_run = 1;
+    stored.at({0, 0, 0}).run = run;
+    REQUIRE(f.scheduler.restore_job(f.record_of("j", 1), encode_progress(stored), f.now()));
+    const lease_settings settings;
+    f.advance(settings.longest);
+    CHECK(f.plan_and_store().empty());
+    f.advance(settings.margin * 2);
+    CHECK(f.plan_and_store().size() == 1);
+}
+
+TEST_CASE("a target that is unlisted is kept until the store has its ends")
+{
+    scheduler_fixture f;
+    const target_id t = f.add_target("t");
+    const std::vector<start_command> starts = f.run_job("j", 1);
+    f.report(t, {}, {ended(starts.front(), 1, run_end::done)});
+    f.scheduler.unlist_target(t, f.now());
+    f.advance(10s);
+    f.scheduler.set_target(f.info_of("t"), f.now());
+    f.report(t, {}, {ended(starts.front(), 1, run_end::done)});
+    CHECK(f.scheduler.begin_observation(t, f.now().now).ends_acknowledged == 0);
+    f.scheduler.on_stored(f.scheduler.unstored(10), f.now());
+    CHECK(f.scheduler.begin_observation(t, f.now().now).ends_acknowledged == 1);
+}
+
+TEST_CASE("a leader whose own lease is over stops no run in order to start it elsewhere")
+{
+    scheduler_fixture f;
+    f.add_target("t");
+    f.add_target("free");
+    const std::vector<start_command> starts =
+        f.run_job("j", 1, 2000, [](step_spec& s) { s.permanent = true; });
+    const target_id used = starts.front().target.id;
+    f.report(used, {running(starts.front())});
+    target_info draining = f.info_of(used.str());
+    draining.state = target_state::draining;
+    f.scheduler.set_target(draining, f.now());
+    f.scheduler.set_leader_lease(f.now().now);
+    f.scheduler.tick({f.now().now + 200ms, f.now().unix_ms + 200});
+    CHECK(f.take_stops().empty());
+    f.advance(400ms);
+    CHECK(f.take_stops().size() == 1);
+}
+
 TEST_CASE("stored waits for leases survive encoding, and an unreadable record is told as such")
 {
     const lease_waits waits{{target_id{"a"}, 1500ms}, {target_id{"b"}, 0ms}};
