--- a/src/plugins/jobs/tests/tst_target_leases.cpp
+++ b/src/plugins/jobs/tests/tst_target_leases.cpp
@@ -128,3 +128,30 @@
     CHECK(p.grant({0, start}, start)->deadline_ms == to_ms(settings.normal));
     CHECK(p.grant({0, start}, start + 800ms)->deadline_ms == 800 + to_ms(settings.longest));
 }
+
+// An entry that can't be read withdraws its target in the same way as a removed one.
+TEST_CASE("a target that is no longer listed keeps its runs, is still observed and gets no new ones")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    const std::vector<start_command> starts = f.run_job("j", 1);
+    REQUIRE(starts.size() == 1);
+    const listed_run run{starts[0].order.task, starts[0].order.run, {}, 41, 0.0};
+    f.scheduler.unlist_target(a, f.now());
+    f.add_job("k", 1);
+    for (int i = 0; i < 60; ++i) {
+        f.advance(1s);
+        const std::vector<target_id> due = f.scheduler.due_observations(f.now().now);
+        REQUIRE(std::find(due.begin(), due.end(), a) != due.end());
+        f.report(a, {run});
+        f.scheduler.tick(f.now());
+        REQUIRE(f.plan_and_store().empty());
+        REQUIRE(f.take_stops().empty());
+    }
+    const job* j = f.scheduler.find_job(job_id{"j"});
+    REQUIRE(j != nullptr);
+    REQUIRE(j->at(run.task.position).run);
+    CHECK(j->at(run.task.position).run->number == run.run);
+    f.scheduler.set_target(f.info_of("a"), f.now());
+    CHECK(f.plan_and_store().size() == 1);
+}
