--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -35,7 +35,7 @@
 
 if [ "${MJM_SKIP_SANITIZERS:-0}" != 1 ]; then
     sanitized_tests address,undefined build-address "tst_core tst_jobs tst_kernel tst_logging tst_net \
-tst_platform_adapter tst_platform_codecs tst_platform_targets \
+tst_platform_adapter tst_platform_codecs tst_platform_store tst_platform_targets \
 tst_platform_http tst_settings tst_timeline tst_caller_api tst_entry tst_membership tst_permits tst_scheduling \
 tst_platform_service tst_target_service"
     # The threads of the network are left out: Asio uses fences, which the thread sanitizer does not support.
