Count maintenance as done only when the platform answers

Cause: an order without an answer counted as carried out as soon as the host had a new target, but a crash leads to one, too. Only an answer proves the order: the platform also confirms one that was carried out before. The host's listed state proves nothing either, since it names no wave. So an unanswered order is dropped when a list shows the host as up with a new target, and chosen again until it is answered. The outcome of an order has a type (not_done, unknown, done), so that each caller says what it does about unknown.

A repeated order may confirm earlier maintenance on a host that works. A target without runs was then taken for gone at once, and took no work any more. Now it is asked, as targets with runs were: its answer shows that it stays, and the order is finished. A target that an order without effect has marked as leaving is freed when the order is dropped.

Before: 'an unanswered order for maintenance is sent again though its host has a new target' fails, 4 hosts maintained of 6; with the first change alone, 'a host takes work again after an order that only confirms earlier maintenance' fails, 20 tasks running of 30.

--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -41,7 +41,7 @@
         pending.order = order;
         pending.chosen_at = started_at_;
         pending.sent_at = started_at_;
-        pending.sent = true;
+        pending.outcome = order_outcome::unknown;
         pending.restored = true;
         pending_orders_[host] = pending;
         recent_orders_[host] = {order, started_at_};
@@ -125,25 +125,42 @@
 {
     std::erase_if(pending_orders_, [&](const auto& entry) {
         const std::string& id = entry.first;
-        const pending_order& pending = entry.second;
         const auto host = hosts_.find(id);
         if (host == hosts_.end())
             return requested_at - last_listed_[id] > settings_.missing_timeout;
-        if (!pending.sent || pending.in_flight || requested_at <= pending.sent_at ||
-            host->second.state != host_state::up)
+        if (!is_over(entry.second, host->second, requested_at))
             return false;
-        const bool new_target = host->second.target != pending.order.target;
-        if (pending.restored)
-            return new_target || requested_at - pending.sent_at > settings_.restored_order_timeout;
-        if (pending.confirmed)
-            return new_target || requested_at - pending.sent_at > settings_.order_timeout;
-        // Without an answer, only a new target on the host shows that the order was carried out.
-        if (new_target && pending.order.kind == host_order_kind::maintain)
-            mark_done(pending, id);
-        return new_target || requested_at - pending.sent_at > settings_.order_timeout;
+        if (host->second.target == entry.second.order.target)
+            scheduler_.set_leaving(entry.second.order.target, false);
+        return true;
     });
 }
 
+bool host_manager::is_over(const pending_order& pending, const host_info& host, timestamp requested_at) const
+{
+    if (pending.in_flight || requested_at <= pending.sent_at || host.state != host_state::up)
+        return false;
+    const bool new_target = host.target != pending.order.target;
+    const duration age = requested_at - pending.sent_at;
+    switch (pending.outcome) {
+    case order_outcome::not_done:
+        return false;
+    case order_outcome::unknown:
+        // A new target does not show that the order was carried out, since a crash leads to one, too. The
+        // order is dropped, so that maintenance is chosen again until the platform answers.
+        return new_target ||
+               age > (pending.restored ? settings_.restored_order_timeout : settings_.order_timeout);
+    case order_outcome::done: {
+        // If the target answers after the order, the platform has confirmed an earlier one.
+        const auto target = scheduler_.targets().find(pending.order.target);
+        const bool still_runs = target != scheduler_.targets().end() && target->second.reachable &&
+                                target->second.synced && !target->second.leaving;
+        return new_target || still_runs || age > settings_.order_timeout;
+    }
+    }
+    return false;
+}
+
 void host_manager::index_targets()
 {
     target_by_host_.clear();
@@ -316,7 +333,7 @@
     for (const auto& [id, recent] : recent_orders_)
         orders[id] = recent.first;
     for (auto& [id, pending] : pending_orders_) {
-        if (!pending.sent)
+        if (pending.outcome == order_outcome::not_done)
             pending.order.target = target_of(id);
         orders[id] = pending.order;
     }
@@ -328,10 +345,10 @@
 {
     const timestamp now = time_.now();
     for (auto& [id, pending] : pending_orders_) {
-        if (pending.restored || pending.in_flight || (pending.sent && pending.confirmed) ||
-            now < pending.not_before)
-            continue;
-        if (pending.sent && now - pending.sent_at < settings_.order_timeout)
+        const bool waits_for_retry =
+            pending.outcome == order_outcome::unknown && now - pending.sent_at < settings_.order_timeout;
+        if (pending.restored || pending.in_flight || pending.outcome == order_outcome::done ||
+            waits_for_retry || now < pending.not_before)
             continue;
         const auto host = hosts_.find(id);
         if (host == hosts_.end() || host->second.state != host_state::up || !lease_valid_() ||
@@ -344,14 +361,14 @@
     // A move that could not be sent in time is dropped, so that the host can be planned anew.
     std::erase_if(pending_orders_, [&](const auto& entry) {
         const pending_order& pending = entry.second;
-        return pending.order.kind == host_order_kind::move && !pending.sent &&
+        return pending.order.kind == host_order_kind::move && pending.outcome == order_outcome::not_done &&
                now - pending.chosen_at > settings_.drain_timeout;
     });
 }
 
 void host_manager::send_order(const std::string& host, pending_order& pending)
 {
-    pending.sent = true;
+    pending.outcome = order_outcome::unknown;
     pending.in_flight = true;
     pending.sent_at = time_.now();
     recent_orders_[host] = {pending.order, pending.sent_at};
@@ -381,7 +398,7 @@
                                {"outcome", answer ? std::string_view{"done"} : name_of(answer.error())},
                                {"waited_ms", to_ms(pending.sent_at - pending.chosen_at)}});
     if (answer) {
-        pending.confirmed = true;
+        pending.outcome = order_outcome::done;
         if (pending.order.kind == host_order_kind::maintain)
             mark_done(pending, host);
         if (!pending.order.target.empty())
@@ -401,7 +418,7 @@
         return;
     default:
         scheduler_.set_leaving(pending.order.target, false);
-        pending.sent = false;
+        pending.outcome = order_outcome::not_done;
         pending.not_before = time_.now() + settings_.retry;
         return;
     }
--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -45,6 +45,13 @@
     pool_plan_settings pools;
 };
 
+/// Whether an order to a host was carried out.
+enum class order_outcome {
+    not_done, ///< It was not sent, or it was refused.
+    unknown,  ///< It was sent, and may have been carried out or may still be.
+    done,     ///< The platform has answered that it was, now or earlier.
+};
+
 struct host_manager_services {
     job_scheduler& scheduler;
     host_operations& operations;
@@ -79,10 +86,9 @@
         host_order order;
         timestamp chosen_at;
         timestamp sent_at;
-        timestamp not_before;   ///< The order is not sent before this time.
-        bool sent = false;      ///< The order was sent; the host may be down.
+        timestamp not_before; ///< The order is not sent before this time.
+        order_outcome outcome = order_outcome::not_done;
         bool in_flight = false; ///< The order's call awaits its answer.
-        bool confirmed = false; ///< The platform has accepted the order.
         bool restored = false;  ///< The previous leader stored the order and may have sent it.
     };
     struct wave_state {
@@ -103,6 +109,10 @@
     void send_order(const std::string& host, pending_order& pending);
     void on_order_answer(const std::string& host, const tl::expected<void, host_errc>& answer);
     void finish_orders(timestamp requested_at);
+    /// Whether a list of hosts, requested at the given time, shows that the order has nothing left to wait
+    /// for or must be chosen again.
+    [[nodiscard]] bool is_over(const pending_order& pending, const host_info& host,
+                               timestamp requested_at) const;
     void update_cordons();
     void index_targets();
     [[nodiscard]] target_id target_of(const std::string& host) const;
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -162,14 +162,14 @@
     void set_cordons(const std::set<std::string>& cordoned, const std::set<std::string>& maintained_soon);
     /// Handles the platform's confirmation that the target's host was moved or maintained, now or earlier.
     /// The target's runs are discarded once it fails to answer. If it does answer, the confirmed order was an
-    /// earlier one, and the runs are kept.
+    /// earlier one, and the target and its runs are kept.
     void on_host_order_confirmed(const target_id& id, scheduler_time time);
     [[nodiscard]] pool_demand demand_of(const service_id& service) const;
     [[nodiscard]] bool only_permanent_runs(const target_id& id) const;
     [[nodiscard]] bool has_permanent_runs(const target_id& id) const;
     /// Whether every step with a limit of unavailable tasks stays within it if the target's tasks are lost.
     [[nodiscard]] bool can_lose(const target_id& id) const;
-    /// Sets whether an order that ends all runs on the target is in flight.
+    /// Sets whether an order that ends all runs on the target may have been carried out.
     void set_leaving(const target_id& id, bool leaving);
     /// Stops one task of each step that has more tasks on the target than may be unavailable at a time, so
     /// that it moves to another target. Skips steps that have no unavailable task to spare at present.
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -32,13 +32,11 @@
     target_status* t = find_target(id);
     if (t == nullptr)
         return;
-    if (t->settled()) {
-        on_host_down(*t, time);
-        return;
-    }
     t->leaving = true;
     t->ordered_down_at = time.now;
     t->next_observation = time.now;
+    // A target without runs is observed only until it has answered.
+    t->synced = t->synced && !t->settled();
 }
 
 void job_scheduler::on_host_down(target_status& t, scheduler_time time)
@@ -133,8 +131,12 @@
 
 void job_scheduler::set_leaving(const target_id& id, bool leaving)
 {
-    if (target_status* t = find_target(id))
-        t->leaving = leaving;
+    target_status* t = find_target(id);
+    if (t == nullptr)
+        return;
+    t->leaving = leaving;
+    if (!leaving)
+        t->ordered_down_at = {};
 }
 
 void job_scheduler::move_excess_tasks(const target_id& id, scheduler_time time)
--- a/src/plugins/jobs/tests/fakes/fake_targets.h
+++ b/src/plugins/jobs/tests/fakes/fake_targets.h
@@ -284,23 +284,20 @@
 
     void list(list_callback done) override
     {
-        loop_.after(std::chrono::milliseconds{5}, [this, done] { done(fleet_.hosts()); });
+        if (calls_lost)
+            fail_unanswered(std::move(done));
+        else
+            loop_.after(latency, [this, done] { done(fleet_.hosts()); });
     }
     void move(const std::string& host, const service_id& pool, fencing_token token,
               done_callback done) override
     {
-        loop_.after(std::chrono::milliseconds{5}, [this, host, pool, token, done] {
-            fleet_.move(host, pool, token);
-            done({});
-        });
+        send([this, host, pool, token] { fleet_.move(host, pool, token); }, std::move(done));
     }
     void maintain(const std::string& host, std::uint64_t /*wave*/, fencing_token token,
                   done_callback done) override
     {
-        loop_.after(std::chrono::milliseconds{5}, [this, host, token, done] {
-            fleet_.maintain(host, token);
-            done({});
-        });
+        send([this, host, token] { fleet_.maintain(host, token); }, std::move(done));
     }
     void report_wave(const maintenance_wave& wave, bool completed, const std::string& record,
                      fencing_token token, done_callback done) override;
@@ -308,8 +305,33 @@
     /// Store to which records of waves are written; null to drop them.
     class fake_transaction_store* store = nullptr;
     std::map<std::string, bool> reported; ///< By name of the wave: whether it was reported as completed.
+    bool calls_lost = false;              ///< Whether calls have no effect and get no answer.
+    bool answers_lost = false;            ///< Whether orders are carried out and get no answer.
 
 private:
+    static constexpr std::chrono::milliseconds latency{5};
+    static constexpr std::chrono::milliseconds call_timeout{1000};
+
+    template <typename Callback>
+    void fail_unanswered(Callback done)
+    {
+        loop_.after(call_timeout, [done] { done(tl::unexpected{host_errc::no_answer}); });
+    }
+    void send(std::function<void()> effect, done_callback done)
+    {
+        if (calls_lost) {
+            fail_unanswered(std::move(done));
+            return;
+        }
+        if (answers_lost)
+            fail_unanswered(done);
+        loop_.after(latency, [effect = std::move(effect), done = std::move(done), lost = answers_lost] {
+            effect();
+            if (!lost)
+                done({});
+        });
+    }
+
     virtual_loop& loop_;
     fake_fleet& fleet_;
 };
--- a/src/plugins/jobs/tests/fleet_simulation.cpp
+++ b/src/plugins/jobs/tests/fleet_simulation.cpp
@@ -169,6 +169,15 @@
     }
 }
 
+void fleet_simulation::start_wave(const maintenance_wave& wave)
+{
+    waves[wave.name] = wave;
+    for (const std::unique_ptr<entry_host>& h : hosts) {
+        if (h->node)
+            h->node->set_waves(waves);
+    }
+}
+
 void fleet_simulation::cancel(const std::string& id, entry_host& through)
 {
     if (!through.node)
--- a/src/plugins/jobs/tests/fleet_simulation.h
+++ b/src/plugins/jobs/tests/fleet_simulation.h
@@ -66,6 +66,8 @@
     /// Asks for the states of all accepted jobs, as callers may do at any time.
     void query_states(const job_leader& leader);
     void submit(const std::string& id, std::uint32_t tasks, bool permanent = false);
+    /// Requests the maintenance of hosts from all entry hosts.
+    void start_wave(const maintenance_wave& wave);
     /// Cancels a job through the entry host. Asks again every 0.5 s while the outcome is unknown.
     void cancel(const std::string& id, entry_host& through);
     /// Cuts an availability zone off from the others and from the store: the entry host and the hosts in it.
--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -75,9 +75,7 @@
     f.run_for(1s);
     f.submit("serving", 3, true);
     f.run_for(4s);
-    f.waves["1"] = wave_of_all();
-    for (const std::unique_ptr<entry_host>& h : f.hosts)
-        h->node->set_waves(f.waves);
+    f.start_wave(wave_of_all());
     f.run_for(2s);
     entry_host* first = f.leader();
     REQUIRE(first != nullptr);
@@ -90,6 +88,48 @@
     CHECK(f.fleet.violations.empty());
 }
 
+// Guards against a wave that is reported as completed though an order without an answer had no effect, since
+// a crash has given the host a new target.
+TEST_CASE("an unanswered order for maintenance is sent again though its host has a new target")
+{
+    fleet_simulation f{5};
+    f.run_for(3s);
+    entry_host* leader = f.leader();
+    REQUIRE(leader != nullptr);
+    f.start_wave(wave_of_all());
+    leader->operations().calls_lost = true;
+    f.run_for(2s);
+    for (const host_info& h : f.fleet.hosts())
+        f.fleet.crash_for(h.id, restart_kind::new_address, 500ms);
+    f.run_for(2s);
+    leader->operations().calls_lost = false;
+    f.run_for(22s);
+    CHECK(f.fleet.maintained.size() == 6);
+    CHECK(leader->operations().reported["1"]);
+    CHECK(f.fleet.violations.empty());
+}
+
+// Guards against targets that take no work any more because their hosts' maintenance is confirmed for a
+// second time.
+TEST_CASE("a host takes work again after an order that only confirms earlier maintenance")
+{
+    fleet_simulation f{6};
+    f.run_for(3s);
+    entry_host* leader = f.leader();
+    REQUIRE(leader != nullptr);
+    f.start_wave(wave_of_all());
+    leader->operations().answers_lost = true;
+    f.run_for(4s);
+    leader->operations().answers_lost = false;
+    f.run_for(20s);
+    CHECK(f.fleet.maintained.size() == 6);
+    CHECK(leader->operations().reported["1"]);
+    f.submit("serving", 30, true); // as many tasks as fit on all hosts
+    f.run_for(3s);
+    CHECK(f.fleet.running(job_id{"serving"}) == 30);
+    CHECK(f.fleet.violations.empty());
+}
+
 // Guards against a new leader that provides no hosts for a burst until the handover has ended, and against
 // one that sends orders to hosts to which the previous leader has just sent orders.
 TEST_CASE("a new leader sends orders at once to hosts without an order of the previous leader, and to the "
