Send no order to a host that may have a target the new leader does not know

After an outage in which registrations lapsed, callers had more tasks of a step down at a time than `max_unavailable` allows (rule AVAIL). Cause: a new leader took a host without a known target for idle and sent its maintenance, while runs of an earlier leader went on there.

All runs are stored before they start, so the restored runs name the targets that are missing. While there are any, hosts whose target is unknown are neither chosen nor ordered down, nor moved; of a standby pool, whose hosts need no target, only those that list a missing one. The wait ends `registration_return` (3 s) after the view of the registrations became recent: entries that lapsed are back by then, and others have gone. can_lose and move_excess_tasks already count runs on unknown targets as unavailable.

A second hole of this kind: the entry of a former target may remain beside that of its successor, and the order was checked against either. Now the latest incarnation is used, and the target that the list of hosts names is checked, too.

--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -82,6 +82,7 @@
     if (now - started_at_ > settings_.handover)
         held_hosts_.clear();
     index_targets();
+    update_awaited_targets();
     choose_maintenance();
     choose_moves();
     update_cordons();
@@ -165,11 +166,28 @@
 {
     target_by_host_.clear();
     for (const auto& [id, t] : scheduler_.targets()) {
-        if (t.listed && !t.info.host.empty())
-            target_by_host_[t.info.host] = id;
+        if (!t.listed || t.info.host.empty())
+            continue;
+        // The entry of a former target may remain beside that of its successor.
+        target_id& current = target_by_host_[t.info.host];
+        const auto other = scheduler_.targets().find(current);
+        if (other == scheduler_.targets().end() || other->second.info.incarnation <= t.info.incarnation)
+            current = id;
     }
 }
 
+void host_manager::update_awaited_targets()
+{
+    const timestamp now = time_.now();
+    if (!scheduler_.may_start(now))
+        view_recent_since_.reset();
+    else if (!view_recent_since_)
+        view_recent_since_ = now;
+    awaited_targets_.clear();
+    if (!view_recent_since_ || now - *view_recent_since_ <= settings_.registration_return)
+        awaited_targets_ = scheduler_.unknown_targets_with_runs();
+}
+
 target_id host_manager::target_of(const std::string& host) const
 {
     const auto listed = target_by_host_.find(host);
@@ -179,6 +197,16 @@
     return it == hosts_.end() ? target_id{} : it->second.target;
 }
 
+bool host_manager::awaits_target(const host_info& host) const
+{
+    if (awaited_targets_.empty() || scheduler_.targets().contains(host.target))
+        return false;
+    // The hosts of a standby pool are off and need not have a target.
+    const auto service = config_->services.find(host.pool);
+    const bool standby = service != config_->services.end() && service->second.standby;
+    return !standby || awaited_targets_.contains(host.target);
+}
+
 double host_manager::demand_growth(const service_id& service, double present)
 {
     const timestamp now = time_.now();
@@ -219,7 +247,8 @@
         if (pool == pools.end())
             continue;
         ++pool->second.hosts;
-        if (pending != pending_orders_.end() || h.state != host_state::up || held_hosts_.contains(id))
+        if (pending != pending_orders_.end() || h.state != host_state::up || held_hosts_.contains(id) ||
+            awaits_target(h))
             continue;
         const auto idle = idle_since_.find(id);
         if (pool->second.standby)
@@ -355,7 +384,7 @@
             !journal_.is_stored(id, pending.order))
             continue;
         // If the host has a new target, the next planning round stores the order with it before it is sent.
-        if (pending.order.target == target_of(id) && can_take_down(id, pending))
+        if (pending.order.target == target_of(id) && can_take_down(host->second, pending))
             send_order(id, pending);
     }
     // A move that could not be sent in time is dropped, so that the host can be planned anew.
--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -42,6 +42,9 @@
     /// An order of the previous leader whose effect the list of hosts does not show within this time counts
     /// as never sent. It is the longest time that an order's call may take.
     duration restored_order_timeout{std::chrono::milliseconds{1000}};
+    /// Entries of targets that have lapsed are back by this long after the registrations can be read again.
+    /// One that is still missing then belongs to a target that has gone.
+    duration registration_return{std::chrono::milliseconds{3000}};
     pool_plan_settings pools;
 };
 
@@ -115,7 +118,10 @@
                                timestamp requested_at) const;
     void update_cordons();
     void index_targets();
+    void update_awaited_targets();
     [[nodiscard]] target_id target_of(const std::string& host) const;
+    /// Whether the host may have one of the awaited targets.
+    [[nodiscard]] bool awaits_target(const host_info& host) const;
     [[nodiscard]] std::vector<pool_state> pool_states();
     /// Returns the growth of the pool's demand in hosts per second; 0 while it falls.
     double demand_growth(const service_id& service, double present);
@@ -129,7 +135,8 @@
     /// Returns the number of hosts that are down, or about to be, for a wave.
     [[nodiscard]] std::size_t hosts_down(const std::string& wave) const;
     /// Whether an order may end the work on the host now. Stops or moves runs that prevent it.
-    [[nodiscard]] bool can_take_down(const std::string& host, pending_order& pending);
+    [[nodiscard]] bool can_take_down(const host_info& host, const pending_order& pending);
+    [[nodiscard]] bool can_take_down(const target_id& target, const pending_order& pending);
 
     const host_manager_settings settings_;
     job_scheduler& scheduler_;
@@ -154,6 +161,10 @@
     /// Hosts to which the previous leader may have sent orders; empty after the handover.
     std::set<std::string> held_hosts_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    /// Since when the registrations can be read without a gap; std::nullopt while the view of them is old.
+    std::optional<timestamp> view_recent_since_;
+    /// Targets on which an earlier leader has started runs, and which are not registered but may still be.
+    std::set<target_id> awaited_targets_;
     timestamp next_list_;
     timestamp next_plan_;
     timestamp next_pool_log_;
--- a/src/plugins/jobs/host_waves.cpp
+++ b/src/plugins/jobs/host_waves.cpp
@@ -41,7 +41,7 @@
         }
         ++left;
         if (host == hosts_.end() || pending_orders_.contains(id) || held_hosts_.contains(id) ||
-            host->second.state != host_state::up)
+            host->second.state != host_state::up || awaits_target(host->second))
             continue;
         const auto t = scheduler_.targets().find(target_of(id));
         candidates.push_back({id, t == scheduler_.targets().end() ? 0.0 : t->second.fill_level()});
@@ -75,9 +75,17 @@
     }
 }
 
-bool host_manager::can_take_down(const std::string& host, pending_order& pending)
+bool host_manager::can_take_down(const host_info& host, const pending_order& pending)
+{
+    if (awaits_target(host))
+        return false;
+    // The platform's list may name a newer target than service discovery, and the reverse.
+    const target_id target = target_of(host.id);
+    return can_take_down(target, pending) && (host.target == target || can_take_down(host.target, pending));
+}
+
+bool host_manager::can_take_down(const target_id& target, const pending_order& pending)
 {
-    const target_id target = target_of(host);
     const auto t = scheduler_.targets().find(target);
     if (t == scheduler_.targets().end() || t->second.settled())
         return true;
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -167,6 +167,8 @@
     [[nodiscard]] pool_demand demand_of(const service_id& service) const;
     [[nodiscard]] bool only_permanent_runs(const target_id& id) const;
     [[nodiscard]] bool has_permanent_runs(const target_id& id) const;
+    /// Returns the targets that this scheduler does not know and on which an earlier leader has started runs.
+    [[nodiscard]] std::set<target_id> unknown_targets_with_runs() const;
     /// Whether every step with a limit of unavailable tasks stays within it if the target's tasks are lost.
     [[nodiscard]] bool can_lose(const target_id& id) const;
     /// Sets whether an order that ends all runs on the target may have been carried out.
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -101,6 +101,18 @@
     return any_step_on(id, [](const step_spec& step) { return step.permanent; });
 }
 
+std::set<target_id> job_scheduler::unknown_targets_with_runs() const
+{
+    std::set<target_id> out;
+    for (const auto& [id, open] : jobs_with_runs_) {
+        open->state->for_open_tasks([&](const task_position& /*position*/, const task& t) {
+            if (t.run && !t.run->on_known_target)
+                out.insert(t.run->target);
+        });
+    }
+    return out;
+}
+
 bool job_scheduler::any_step_on(const target_id& id, bool (*predicate)(const step_spec&)) const
 {
     const std::set<task_key>& runs = targets_.at(id).runs;
--- a/src/plugins/jobs/tests/fakes/fake_targets.h
+++ b/src/plugins/jobs/tests/fakes/fake_targets.h
@@ -242,8 +242,9 @@
 public:
     fake_directory(virtual_loop& loop, fake_fleet& fleet) : loop_{loop}, fleet_{fleet} {}
 
-    bool frozen = false; ///< Whether changes of targets are not reported.
-    duration delay{0};   ///< Time for which the entry host leaves reports unhandled.
+    bool frozen = false;                ///< Whether changes of targets are not reported.
+    duration delay{0};                  ///< Time for which the entry host leaves reports unhandled.
+    std::set<std::string> lapsed_hosts; ///< Hosts whose targets have no entry.
 
     void open(handler h) override
     {
@@ -256,14 +257,19 @@
         if (!handler_.on_snapshot || frozen)
             return;
         if (delay == duration{0})
-            report(loop_.time().now(), fleet_.listed());
+            report(loop_.time().now(), listed());
         else
-            loop_.after(delay,
-                        [this, at = loop_.time().now(), targets = fleet_.listed()] { report(at, targets); });
+            loop_.after(delay, [this, at = loop_.time().now(), targets = listed()] { report(at, targets); });
     }
     [[nodiscard]] timestamp view_time() const override { return view_time_; }
 
 private:
+    [[nodiscard]] std::vector<target_info> listed() const
+    {
+        std::vector<target_info> out = fleet_.listed();
+        std::erase_if(out, [this](const target_info& t) { return lapsed_hosts.contains(t.host); });
+        return out;
+    }
     void report(timestamp at, const std::vector<target_info>& targets)
     {
         if (!handler_.on_snapshot || at < view_time_)
--- a/src/plugins/jobs/tests/fleet_simulation.cpp
+++ b/src/plugins/jobs/tests/fleet_simulation.cpp
@@ -215,6 +215,17 @@
     }
 }
 
+void fleet_simulation::set_registrations_lapsed(bool lapsed)
+{
+    for (const std::unique_ptr<entry_host>& h : hosts) {
+        h->directory().lapsed_hosts.clear();
+        for (const host_info& target_host : fleet.hosts()) {
+            if (lapsed)
+                h->directory().lapsed_hosts.insert(target_host.id);
+        }
+    }
+}
+
 entry_host* fleet_simulation::leader()
 {
     for (const std::unique_ptr<entry_host>& h : hosts) {
--- a/src/plugins/jobs/tests/fleet_simulation.h
+++ b/src/plugins/jobs/tests/fleet_simulation.h
@@ -73,6 +73,8 @@
     /// Cuts an availability zone off from the others and from the store: the entry host and the hosts in it.
     void cut_zone(entry_host& entry, const std::set<std::string>& zone_hosts);
     void mend_zone();
+    /// Removes or restores the entries of all targets in service discovery.
+    void set_registrations_lapsed(bool lapsed);
     /// Returns nullptr if no entry host leads.
     [[nodiscard]] entry_host* leader();
     [[nodiscard]] bool completed(const std::string& id);
--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace mjm;
 using namespace std::chrono_literals;
 
@@ -130,6 +132,77 @@
     CHECK(f.fleet.violations.empty());
 }
 
+// Guards against orders to hosts whose targets the new leader does not know yet, which end more tasks than
+// may be unavailable.
+TEST_CASE("a new leader takes no host down before the entries of targets that have lapsed are back")
+{
+    fleet_simulation f{7};
+    f.run_for(1s);
+    f.submit("serving", 3, true);
+    f.run_for(4s);
+    REQUIRE(f.fleet.running(job_id{"serving"}) == 3);
+    f.set_registrations_lapsed(true);
+    f.leader()->kill();
+    f.start_wave(wave_of_all());
+    std::size_t fewest = 3;
+    const auto run_for = [&](duration d) {
+        for (timestamp end = f.loop.time().now() + d; f.loop.time().now() < end;) {
+            f.run_for(50ms);
+            fewest = std::min(fewest, f.fleet.running(job_id{"serving"}));
+        }
+    };
+    for (int i = 0; i < 100 && f.leader() == nullptr; ++i)
+        run_for(50ms);
+    run_for(2s);
+    CHECK(fewest == 3);
+    f.set_registrations_lapsed(false);
+    run_for(26s);
+    CHECK(fewest >= 2);
+    CHECK(f.fleet.maintained.size() == 6);
+    CHECK(f.fleet.violations.empty());
+}
+
+// Guards against a host that is never maintained, since its target can't register itself.
+TEST_CASE("a host whose target does not register itself again is maintained")
+{
+    fleet_simulation f{8};
+    f.run_for(1s);
+    f.submit("serving", 3, true);
+    f.run_for(4s);
+    f.set_registrations_lapsed(true);
+    f.leader()->kill();
+    f.start_wave(wave_of_all());
+    f.run_for(28s);
+    CHECK(f.fleet.maintained.size() == 6);
+    CHECK(f.fleet.violations.empty());
+}
+
+// Guards against an order that is checked against the former target of its host.
+TEST_CASE("a host is not taken down because its former target, whose entry remains, has no tasks")
+{
+    fleet_simulation f{9};
+    f.run_for(1s);
+    for (const char* host : {"h0", "h1", "h2", "h5"}) {
+        f.fleet.entry_lifetime = host == std::string{"h5"} ? 16s : 0s;
+        f.fleet.crash(host);
+        f.fleet.restart(host);
+    }
+    f.submit("serving", 27, true);
+    f.run_for(10s); // Tasks that were placed on the former target are started again.
+    REQUIRE(f.fleet.running_on("h5").size() >= 2);
+    maintenance_wave wave = wave_of_all();
+    wave.hosts = {"h5"};
+    f.start_wave(wave);
+    std::size_t fewest = 27;
+    for (int i = 0; i < 300; ++i) {
+        f.run_for(50ms);
+        fewest = std::min(fewest, f.fleet.running(job_id{"serving"}));
+    }
+    CHECK(fewest >= 26);
+    CHECK(f.fleet.maintained.empty()); // Other hosts have no room for the tasks.
+    CHECK(f.fleet.violations.empty());
+}
+
 // Guards against a new leader that provides no hosts for a burst until the handover has ended, and against
 // one that sends orders to hosts to which the previous leader has just sent orders.
 TEST_CASE("a new leader sends orders at once to hosts without an order of the previous leader, and to the "
