--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -32,13 +32,11 @@
     target_status* t = find_target(id);
     if (t == nullptr)
         return;
-    if (t->settled()) {
-        on_host_down(*t, time);
-        return;
-    }
     t->leaving = true;
     t->ordered_down_at = time.now;
     t->next_observation = time.now;
+    // A target without runs is observed only until it has answered.
+    t->synced = t->synced && !t->settled();
 }
 
 void job_scheduler::on_host_down(target_status& t, scheduler_time time)
@@ -103,6 +101,18 @@
     return any_step_on(id, [](const step_spec& step) { return step.permanent; });
 }
 
+std::set<target_id> job_scheduler::unknown_targets_with_runs() const
+{
+    std::set<target_id> out;
+    for (const auto& [id, open] : jobs_with_runs_) {
+        open->state->for_open_tasks([&](const task_position& /*position*/, const task& t) {
+            if (t.run && !t.run->on_known_target)
+                out.insert(t.run->target);
+        });
+    }
+    return out;
+}
+
 bool job_scheduler::any_step_on(const target_id& id, bool (*predicate)(const step_spec&)) const
 {
     const std::set<task_key>& runs = targets_.at(id).runs;
@@ -133,8 +143,12 @@
 
 void job_scheduler::set_leaving(const target_id& id, bool leaving)
 {
-    if (target_status* t = find_target(id))
-        t->leaving = leaving;
+    target_status* t = find_target(id);
+    if (t == nullptr)
+        return;
+    t->leaving = leaving;
+    if (!leaving)
+        t->ordered_down_at = {};
 }
 
 void job_scheduler::move_excess_tasks(const target_id& id, scheduler_time time)
--- a/src/plugins/jobs/tests/fleet_simulation.cpp
+++ b/src/plugins/jobs/tests/fleet_simulation.cpp
@@ -169,6 +169,15 @@
     }
 }
 
+void fleet_simulation::start_wave(const maintenance_wave& wave)
+{
+    waves[wave.name] = wave;
+    for (const std::unique_ptr<entry_host>& h : hosts) {
+        if (h->node)
+            h->node->set_waves(waves);
+    }
+}
+
 void fleet_simulation::cancel(const std::string& id, entry_host& through)
 {
     if (!through.node)
@@ -206,6 +215,17 @@
     }
 }
 
+void fleet_simulation::set_registrations_lapsed(bool lapsed)
+{
+    for (const std::unique_ptr<entry_host>& h : hosts) {
+        h->directory().lapsed_hosts.clear();
+        for (const host_info& target_host : fleet.hosts()) {
+            if (lapsed)
+                h->directory().lapsed_hosts.insert(target_host.id);
+        }
+    }
+}
+
 entry_host* fleet_simulation::leader()
 {
     for (const std::unique_ptr<entry_host>& h : hosts) {
--- a/src/plugins/jobs/tests/fleet_simulation.h
+++ b/src/plugins/jobs/tests/fleet_simulation.h
@@ -66,11 +66,15 @@
     /// Asks for the states of all accepted jobs, as callers may do at any time.
     void query_states(const job_leader& leader);
     void submit(const std::string& id, std::uint32_t tasks, bool permanent = false);
+    /// Requests the maintenance of hosts from all entry hosts.
+    void start_wave(const maintenance_wave& wave);
     /// Cancels a job through the entry host. Asks again every 0.5 s while the outcome is unknown.
     void cancel(const std::string& id, entry_host& through);
     /// Cuts an availability zone off from the others and from the store: the entry host and the hosts in it.
     void cut_zone(entry_host& entry, const std::set<std::string>& zone_hosts);
     void mend_zone();
+    /// Removes or restores the entries of all targets in service discovery.
+    void set_registrations_lapsed(bool lapsed);
     /// Returns nullptr if no entry host leads.
     [[nodiscard]] entry_host* leader();
     [[nodiscard]] bool completed(const std::string& id);
