Conclude nothing from a run that a report cut off may have left out

Callers saw tasks run twice: of 600 tasks that ended on one target while there was no leader, the next leader started 100 again. Cause: a target lists at most 500 ends and the next ones after these are acknowledged, but a run that was neither in the list of runs nor among the listed ends counted as ended or never received.

A report now tells whether it is complete: fewer than 500 ends, both lists there, every row readable. What the absence of a run proves is decided in one function, meaning_of_absence; an incomplete report proves nothing. The scheduler then acknowledges what is stored and asks again at once, without a delayed answer.

The simulated fleet lists three ends at a time, so that all random runs meet it.

Other lists that the platform pages, by reading: prefix_watch, load_progress and the list of hosts read on until the last page, and start again or end in an error if a page is missing. load_hosts reads one page only.

--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -4,6 +4,7 @@
 #include "jobs/job.h"
 #include "jobs/lease_policy.h"
 #include "jobs/placement.h"
+#include "jobs/run_evidence.h"
 #include "jobs/scheduler_settings.h"
 #include "jobs/target_status.h"
 #include "jobs/work_order.h"
@@ -458,7 +459,8 @@
     [[nodiscard]] bool has_stopped_run(const target_status& t) const;
     /// Whether the run's latest stop has failed, and was sent longer than `interval` ago.
     [[nodiscard]] static bool stop_failed(const task_run& run, duration interval, timestamp now);
-    void on_missing_run(open_job& open, const task_position& p, timestamp sent_at, scheduler_time time);
+    /// Handles that a report doesn't list the run.
+    void on_missing_run(open_job& open, const task_position& p, absence meaning, scheduler_time time);
     /// Handles a restart of the target: discards the runs of earlier incarnations.
     void on_target_restart(target_status& t, target_incarnation incarnation, scheduler_time time);
     /// Handles that the target's address belongs to another target or incarnation, so that all its runs have
--- /dev/null
+++ b/src/plugins/jobs/run_evidence.cpp
@@ -0,0 +1,29 @@
+#include "jobs/run_evidence.h"
+
+namespace mjm {
+
+absence meaning_of_absence(const task_run& run, const target_report& report, timestamp sent_at)
+{
+    if (!report.complete)
+        return absence::proves_nothing;
+    switch (run.phase) {
+    case run_phase::planned:
+    case run_phase::ordered:
+        return absence::proves_nothing;
+    case run_phase::running:
+        return run.answered_at < sent_at ? absence::ended : absence::proves_nothing;
+    case run_phase::unconfirmed:
+        // A start sent by an earlier leader can't take effect any more, since the target has seen this
+        // leader's token.
+        if (run.ordered_at == timestamp{})
+            return absence::not_received;
+        return run.ordered_at < sent_at ? absence::not_answered : absence::proves_nothing;
+    case run_phase::stopping:
+        return !run.order_pending && run.answered_at != timestamp{} && run.answered_at < sent_at
+                   ? absence::ended
+                   : absence::proves_nothing;
+    }
+    return absence::proves_nothing;
+}
+
+} // namespace mjm
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -170,7 +170,7 @@
         }
     }
     if (t.synced && t.reachable && !(t.runs.empty() && t.unknown_runs.empty()) && t.unstored.empty() &&
-        t.ordered_down_at == timestamp{} && !has_stopped_run(t))
+        t.listed_all && t.ordered_down_at == timestamp{} && !has_stopped_run(t))
         request.wait = observation_wait(t, now);
     return request;
 }
@@ -202,6 +202,7 @@
     resolve_lost_target(target, report->incarnation, time);
     set_clock(*t, report->clock_ms, time.now);
     t->synced = true;
+    t->listed_all = report->complete;
     for (const listed_end& end : report->ended) {
         if (end.sequence <= t->ends_seen)
             continue;
@@ -212,7 +213,7 @@
     adjust_pace(*t, *report);
     drop_stored_ends(*t);
     t->next_observation =
-        time.now + (t->unstored.empty() ? settings_.observation_gap : settings_.store_grace);
+        time.now + (t->unstored.empty() && t->listed_all ? settings_.observation_gap : settings_.store_grace);
     if (newly_usable)
         plan_needed_.insert(t->info.service);
 }
@@ -380,7 +381,7 @@
         if (stop_failed(run, settings_.stop_retry, time.now))
             send_stop({open.state->id(), p}, run, time.now);
         if (!listed.contains({{open.state->id(), p}, run.number}))
-            on_missing_run(open, p, sent_at, time);
+            on_missing_run(open, p, meaning_of_absence(run, report, sent_at), time);
     });
 }
 
@@ -393,30 +394,21 @@
     unknown.stop_sent_at = now;
 }
 
-void job_scheduler::on_missing_run(open_job& open, const task_position& p, timestamp sent_at,
+void job_scheduler::on_missing_run(open_job& open, const task_position& p, absence meaning,
                                    scheduler_time time)
 {
-    task& it = open.state->at(p);
-    task_run& run = *it.run;
-    switch (run.phase) {
-    case run_phase::planned:
-    case run_phase::ordered:
+    const bool stopping = open.state->at(p).run->phase == run_phase::stopping;
+    switch (meaning) {
+    case absence::proves_nothing:
         return;
-    case run_phase::running:
-        if (run.answered_at < sent_at)
-            discard_run(open, p, "not listed by the target", time);
+    case absence::not_received:
+        discard_run(open, p, "start was never received", time);
         return;
-    case run_phase::unconfirmed:
-        // A start sent by an earlier leader can't take effect any more, since the target has seen this
-        // leader's token.
-        if (run.ordered_at == timestamp{})
-            discard_run(open, p, "start was never received", time);
-        else if (run.ordered_at < sent_at)
-            stop_run(open, p, "start was not answered", time.now);
+    case absence::not_answered:
+        stop_run(open, p, "start was not answered", time.now);
         return;
-    case run_phase::stopping:
-        if (!run.order_pending && run.answered_at != timestamp{} && run.answered_at < sent_at)
-            discard_run(open, p, "stopped", time);
+    case absence::ended:
+        discard_run(open, p, stopping ? "stopped" : "not listed by the target", time);
         return;
     }
 }
--- a/src/plugins/jobs/target_orders.h
+++ b/src/plugins/jobs/target_orders.h
@@ -99,6 +99,9 @@
     target_incarnation incarnation = 0;
     std::vector<listed_run> running;
     std::vector<listed_end> ended; ///< Ends that have not been acknowledged.
+    /// Whether every run on the target and every such end is listed. If not, nothing follows from a run that
+    /// is missing.
+    bool complete = true;
 };
 
 /// Confirmation of an order by its target.
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -33,10 +33,11 @@
     target_info info; ///< The incarnation is the latest one that is known, also from reports.
     target_incarnation registered_incarnation = 0; ///< Incarnation whose entry `info` is; 0 if it names none.
     bool listed = true;                            ///< Whether service discovery has an entry for it.
-    bool synced = false;   ///< Whether it has answered this leader, so that it refuses any earlier one.
-    bool reachable = true; ///< Whether it counts as reachable, going by its latest answers.
-    bool cordoned = false; ///< Whether it takes no new work, because its host will be maintained or moved.
-    bool leaving = false;  ///< Whether an order that ends all its runs may have been carried out.
+    bool listed_all = true; ///< Whether its latest report has listed all runs and ends.
+    bool synced = false;    ///< Whether it has answered this leader, so that it refuses any earlier one.
+    bool reachable = true;  ///< Whether it counts as reachable, going by its latest answers.
+    bool cordoned = false;  ///< Whether it takes no new work, because its host will be maintained or moved.
+    bool leaving = false;   ///< Whether an order that ends all its runs may have been carried out.
     timestamp ordered_down_at;    ///< When such an order was confirmed; the epoch if none was.
     bool maintained_soon = false; ///< Whether its host will be maintained soon.
     int missed_observations = 0;  ///< Observations without an answer since the last answer.
--- a/src/plugins/jobs/tests/fakes/fake_targets.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_targets.cpp
@@ -361,6 +361,9 @@
         report.clock_ms = clock_ms();
         report.incarnation = t.info.incarnation;
         report.ended = t.ended;
+        report.complete = t.ended.size() < most_ends_listed;
+        if (!report.complete)
+            report.ended.resize(most_ends_listed);
         for (const auto& [task, r] : t.running) {
             listed_run row;
             row.task = task;
--- a/src/plugins/jobs/tests/fakes/fake_targets.h
+++ b/src/plugins/jobs/tests/fakes/fake_targets.h
@@ -74,6 +74,8 @@
     std::function<run_end(const task_key&)> outcome;
     /// Returns whether a task crashes each target that starts it; null if none does.
     std::function<bool(const task_key&)> deadly;
+    /// Largest number of ends in a report. It is far below the platform's, so that random runs meet it too.
+    std::size_t most_ends_listed = 3;
     /// How and when a target that a task has crashed comes back.
     restart_kind restart_after_crash = restart_kind::same_address;
     duration restart_delay{std::chrono::seconds{3}};
--- a/src/plugins/jobs/tests/scheduler_fixture.cpp
+++ b/src/plugins/jobs/tests/scheduler_fixture.cpp
@@ -136,16 +136,23 @@
 
 void scheduler_fixture::report(const target_id& target, const std::vector<listed_run>& running_now,
                                const std::vector<listed_end>& ended_now, target_incarnation incarnation)
+{
+    observe(target, {0, incarnation, running_now, ended_now, true});
+}
+
+void scheduler_fixture::report_part(const target_id& target, const std::vector<listed_run>& running_now,
+                                    const std::vector<listed_end>& ended_now, target_incarnation incarnation)
+{
+    observe(target, {0, incarnation, running_now, ended_now, false});
+}
+
+void scheduler_fixture::observe(const target_id& target, target_report report)
 {
     const timestamp sent_at = now_;
     static_cast<void>(scheduler.begin_observation(target, now_));
     now_ += std::chrono::milliseconds{1};
-    target_report r;
-    r.clock_ms = clock_ms();
-    r.incarnation = incarnation;
-    r.running = running_now;
-    r.ended = ended_now;
-    scheduler.on_report(target, r, sent_at, now());
+    report.clock_ms = clock_ms();
+    scheduler.on_report(target, report, sent_at, now());
 }
 
 void scheduler_fixture::miss(const target_id& target)
--- a/src/plugins/jobs/tests/scheduler_fixture.h
+++ b/src/plugins/jobs/tests/scheduler_fixture.h
@@ -46,6 +46,9 @@
     /// Reports the runs and ends that the target lists.
     void report(const target_id& target, const std::vector<listed_run>& running,
                 const std::vector<listed_end>& ended = {}, target_incarnation incarnation = 1);
+    /// The same for a target that may have more runs and ends than it lists.
+    void report_part(const target_id& target, const std::vector<listed_run>& running,
+                     const std::vector<listed_end>& ended = {}, target_incarnation incarnation = 1);
     /// Plays an observation without an answer.
     void miss(const target_id& target);
 
@@ -53,6 +56,7 @@
     std::vector<scheduler_log_entry> log_entries;
 
 private:
+    void observe(const target_id& target, target_report report);
     void sort_commands(scheduler_time time);
 
     std::vector<start_command> starts_;
--- /dev/null
+++ b/src/plugins/jobs/tests/tst_target_reports.cpp
@@ -0,0 +1,94 @@
+#include "fleet_simulation.h"
+#include "scheduler_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mjm;
+using namespace std::chrono_literals;
+
+TEST_CASE("a run that a report doesn't list is kept if the report's lists may have been cut off")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    const std::vector<start_command> starts = f.run_job("j", 3);
+    REQUIRE(starts.size() == 3);
+    f.advance(20ms);
+    f.report_part(a, {}, {ended(starts[0], 1, run_end::done)});
+    CHECK(f.scheduler.find_job(job_id{"j"})->active_runs() == 2);
+    CHECK(f.plan_and_store().empty());
+    CHECK(f.take_stops().empty());
+
+    SECTION("the target lists the other ends once it may forget the first ones")
+    {
+        REQUIRE(f.scheduler.due_observations(f.now().now) == std::vector<target_id>{a});
+        const lease_request next = f.scheduler.begin_observation(a, f.now().now);
+        CHECK(next.ends_acknowledged == 1);
+        CHECK(next.wait == 0ms);
+        f.report(a, {}, {ended(starts[1], 2, run_end::done), ended(starts[2], 3, run_end::done)});
+        CHECK(f.scheduler.find_job(job_id{"j"})->state() == job_state::completed);
+    }
+    SECTION("a complete report doesn't list them")
+    {
+        f.advance(20ms);
+        f.report(a, {});
+        CHECK(f.plan_and_store().size() == 2);
+    }
+}
+
+TEST_CASE("a start without an answer is not taken for lost by a report that may have been cut off")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1);
+    const std::vector<start_command> starts = f.plan_and_store();
+    REQUIRE(starts.size() == 1);
+    f.scheduler.on_start_answer(a, starts[0].order.task, 1, tl::unexpected{order_errc::no_answer}, f.now());
+    f.advance(20ms);
+    f.report_part(a, {});
+    CHECK(f.take_stops().empty());
+    f.advance(20ms);
+    f.report(a, {});
+    CHECK(f.take_stops().size() == 1);
+}
+
+TEST_CASE("restored runs are kept until their target has listed all of its ends")
+{
+    scheduler_fixture f;
+    f.add_target("a");
+    f.add_job("j", 2);
+    f.scheduler.plan(f.now());
+    const std::vector<progress_write> stored = f.scheduler.unstored(1);
+    REQUIRE(stored.size() == 1);
+    f.scheduler.on_stored(stored, f.now());
+    const std::vector<start_command> starts = f.take_starts();
+    REQUIRE(starts.size() == 2);
+
+    scheduler_fixture next;
+    REQUIRE(next.scheduler.restore_job(next.record_of("j", 2), stored[0].text, next.now()));
+    const target_id a{"a"};
+    next.scheduler.set_target(next.info_of("a"), next.now());
+    next.report_part(a, {}, {ended(starts[0], 1, run_end::done)});
+    CHECK(next.plan_and_store().empty());
+    next.report(a, {}, {ended(starts[1], 2, run_end::done)});
+    CHECK(next.scheduler.find_job(job_id{"j"})->state() == job_state::completed);
+}
+
+TEST_CASE("tasks that end while there is no leader don't start again, however many ends a target has")
+{
+    fleet_simulation sim{1};
+    sim.fleet.task_need = {100, 64, 0, 0};
+    sim.fleet.run_time = [](const task_key&) { return duration{3s}; };
+    sim.run_for(4s);
+    sim.submit("j", 200);
+    sim.run_for(2500ms);
+    REQUIRE(sim.fleet.starts == 200);
+    for (const std::unique_ptr<entry_host>& h : sim.hosts)
+        h->kill();
+    sim.run_for(1500ms);
+    for (const std::unique_ptr<entry_host>& h : sim.hosts)
+        h->start(sim.config, sim.waves);
+    sim.run_for(20s);
+    CHECK(sim.completed("j"));
+    CHECK(sim.fleet.starts == 201);
+    CHECK(sim.fleet.violations.empty());
+}
