--- a/src/plugins/jobs/lease_policy.cpp
+++ b/src/plugins/jobs/lease_policy.cpp
@@ -27,9 +27,14 @@
 
 timestamp lease_policy::earlier_leases_over_at(const target_id& target) const
 {
-    const duration longest = longest_time_for(settings_.longest) + settings_.margin;
+    const timestamp longest = longest_lease_over_at(term_start_);
     const auto stored = earlier_waits_.find(target);
-    return term_start_ + (stored == earlier_waits_.end() ? longest : std::min(stored->second, longest));
+    return stored == earlier_waits_.end() ? longest : std::min(term_start_ + stored->second, longest);
+}
+
+timestamp lease_policy::longest_lease_over_at(timestamp granted) const
+{
+    return granted + longest_time_for(settings_.longest) + settings_.margin;
 }
 
 duration lease_policy::longest_observation(timestamp now) const
--- a/src/plugins/jobs/lease_policy.h
+++ b/src/plugins/jobs/lease_policy.h
@@ -61,6 +61,9 @@
     void set_earlier_wait(const target_id& target, duration wait) { earlier_waits_[target] = wait; }
     /// Returns the latest time at which all runs on the target under leases of earlier leaders have ended.
     [[nodiscard]] timestamp earlier_leases_over_at(const target_id& target) const;
+    /// Returns the latest time at which runs have ended whose leases were granted until `granted`, whatever
+    /// their targets' clocks showed.
+    [[nodiscard]] timestamp longest_lease_over_at(timestamp granted) const;
     /// Returns the longest time for which the answer to an observation may be delayed.
     [[nodiscard]] duration longest_observation(timestamp now) const;
 
