Keep the attempts of a job while its queue is not configured

Callers saw a job as failed after two failed runs although its queue grants four: its route was away for 4 s, and meanwhile default_attempts held.

A job's record now keeps the number of attempts that its queue had at the acceptance, which holds while the queue is not configured; records of earlier versions are read as before and fall back to default_attempts. The number is compared when a run fails; a smaller one doesn't end a job by itself.

--- a/src/plugins/jobs/job_codec.cpp
+++ b/src/plugins/jobs/job_codec.cpp
@@ -112,6 +112,8 @@
     json out{{"queue", record.queue.str()},    {"service", record.service.str()},
              {"team", record.team.str()},      {"accepted_ms", record.accepted_ms},
              {"payload", record.spec.payload}, {"steps", std::move(steps)}};
+    if (record.max_attempts != 0)
+        out["max_attempts"] = record.max_attempts;
     if (record.spec.scheduled) {
         out["occurrences"] = record.spec.occurrences;
         out["first_due_ms"] = record.spec.first_due_ms;
@@ -130,6 +132,7 @@
         record.service = service_id{in.at("service").get<std::string>()};
         record.team = team_id{in.at("team").get<std::string>()};
         record.accepted_ms = in.at("accepted_ms").get<std::int64_t>();
+        record.max_attempts = in.value("max_attempts", 0U);
         record.spec.payload = in.at("payload").get<std::string>();
         for (const json& s : in.at("steps"))
             record.spec.steps.push_back(decode_step(s));
--- a/src/plugins/jobs/job_front.cpp
+++ b/src/plugins/jobs/job_front.cpp
@@ -162,6 +162,7 @@
             store_.commit(
                 std::move(t),
                 guarded_callback(alive_, [this, id, done = std::move(done)](
+    record.max_attempts = r->queue->max_attempts;
                                              const tl::expected<store_revision, transaction_error>& result) {
                     if (result || result.error().code == store_errc::conflict) {
                         log_.info("cancel_accepted", {{"job", id}});
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -450,6 +450,8 @@
     void discard_unreceived_start(const target_id& target, const task_key& key, run_number run,
                                   scheduler_time time);
     void on_end(target_status& t, const listed_end& end, scheduler_time time);
+    /// The queue's present number of attempts or, while it is not configured, that of the acceptance.
+    [[nodiscard]] std::uint32_t max_attempts_of(const open_job& open) const;
     void on_failed_run(target_status& t, open_job& open, const task_position& p, scheduler_time time);
     void reconcile_runs(target_status& t, const target_report& report, timestamp sent_at,
                         scheduler_time time);
--- a/src/plugins/jobs/job_types.h
+++ b/src/plugins/jobs/job_types.h
@@ -73,9 +73,10 @@
 struct job_record {
     job_id id;
     queue_id queue;
-    service_id service;           ///< Service of the queue when the job was accepted.
-    team_id team;                 ///< Empty for a queue that is open to all.
-    std::int64_t accepted_ms = 0; ///< Unix time of the acceptance.
+    service_id service;             ///< Service of the queue when the job was accepted.
+    team_id team;                   ///< Empty for a queue that is open to all.
+    std::int64_t accepted_ms = 0;   ///< Unix time of the acceptance.
+    std::uint32_t max_attempts = 0; ///< The queue's when the job was accepted; 0 in earlier records.
     job_spec spec;
 };
 
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -311,12 +311,21 @@
     after_change(*open, time);
 }
 
+std::uint32_t job_scheduler::max_attempts_of(const open_job& open) const
+{
+    if (open.queue != nullptr)
+        return open.queue->max_attempts;
+    // The queue may have been removed for a while only.
+    const std::uint32_t accepted_with = open.state->record().max_attempts;
+    return accepted_with != 0 ? accepted_with : settings_.default_attempts;
+}
+
 void job_scheduler::on_failed_run(target_status& t, open_job& open, const task_position& p,
                                   scheduler_time time)
 {
     job& j = *open.state;
     task& it = j.at(p);
-    j.fail_task(p, open.queue == nullptr ? settings_.default_attempts : open.queue->max_attempts);
+    j.fail_task(p, max_attempts_of(open));
     it.avoided_target = t.info.id;
     const std::size_t doublings = std::min<std::size_t>(it.failures - 1, max_backoff_doublings);
     it.not_before = time.now + settings_.failure_backoff * (1U << doublings);
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -51,7 +51,7 @@
     duration run_check_interval{std::chrono::milliseconds{100}};
     straggler_settings stragglers;
     crash_settings crashes;
-    /// Maximum number of attempts of a task whose queue is no longer configured.
+    /// Maximum number of attempts of a task whose queue is not configured, if its record does not tell.
     std::uint32_t default_attempts = 2;
     /// Tail latency, as a fraction of the objective, above which backfill tasks on the target are slowed
     /// down.
--- a/src/plugins/jobs/tests/tst_job_decisions.cpp
+++ b/src/plugins/jobs/tests/tst_job_decisions.cpp
@@ -153,6 +153,7 @@
     record.service = service_id{"s"};
     record.team = team_id{"t"};
     record.accepted_ms = 42;
+    record.max_attempts = 4;
     record.spec.payload = "text \"quoted\"";
     record.spec.scheduled = true;
     record.spec.occurrences = 3;
@@ -168,6 +169,11 @@
     REQUIRE(back);
     CHECK(back->spec.payload == record.spec.payload);
     CHECK(back->spec.occurrences == 3);
+    CHECK(back->max_attempts == 4);
+    const std::optional<job_record> earlier_version = decode_job(
+        record.id, R"({"queue":"q","service":"s","team":"t","accepted_ms":1,"payload":"","steps":[]})");
+    REQUIRE(earlier_version);
+    CHECK(earlier_version->max_attempts == 0);
     CHECK(back->spec.steps.at(0).need == step.need);
     CHECK(back->spec.steps.at(0).required_label == "k80");
 
--- a/src/plugins/jobs/tests/tst_job_front.cpp
+++ b/src/plugins/jobs/tests/tst_job_front.cpp
@@ -1,4 +1,5 @@
 #include "fake_transaction_store.h"
+#include "jobs/job_codec.h"
 #include "jobs/job_front.h"
 #include "jobs/job_keys.h"
 #include "no_leader.h"
@@ -102,6 +103,17 @@
     CHECK(f.store.find("mjm/inbox/job/c") == nullptr);
 }
 
+TEST_CASE("a job is stored with the number of attempts that its queue has")
+{
+    front_fixture f;
+    f.config->queues.front().max_attempts = 4;
+    REQUIRE(f.submit("a"));
+    const std::optional<job_record> record =
+        decode_job(job_id{"a"}, f.store.find(job_keys::of(job_keys::accepted, job_id{"a"}))->value);
+    REQUIRE(record);
+    CHECK(record->max_attempts == 4);
+}
+
 TEST_CASE("each reason to refuse a job has its own error code")
 {
     front_fixture f;
--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -185,6 +185,48 @@
     CHECK(f.take_stops().size() == 1);
 }
 
+// Guards against a job that fails early because its queue is removed for a while.
+TEST_CASE("a job whose queue is removed keeps the attempts with which it was accepted")
+{
+    scheduler_fixture f;
+    f.add_target("a");
+    f.add_target("b");
+    job_record record = f.record_of("j", 1);
+    record.max_attempts = 4;
+    f.scheduler.add_job(record, f.now());
+    f.scheduler.set_config(std::make_shared<fleet_config>());
+    std::map<target_id, std::uint64_t> ends;
+    for (int attempt = 1; attempt <= 4; ++attempt) {
+        CHECK(f.scheduler.find_job(job_id{"j"})->state() != job_state::failed);
+        f.advance(3s);
+        const std::vector<start_command> starts = f.plan_and_store();
+        REQUIRE(starts.size() == 1);
+        f.confirm(starts[0]);
+        f.report(starts[0].target.id, {}, {ended(starts[0], ++ends[starts[0].target.id], run_end::failed)});
+    }
+    CHECK(f.scheduler.find_job(job_id{"j"})->state() == job_state::failed);
+}
+
+TEST_CASE("the number of attempts that a queue has at present holds for all its jobs")
+{
+    const std::uint32_t accepted_with = GENERATE(1U, 4U);
+    scheduler_fixture f; // Its queue has two attempts.
+    f.add_target("a");
+    f.add_target("b");
+    job_record record = f.record_of("j", 1);
+    record.max_attempts = accepted_with;
+    f.scheduler.add_job(record, f.now());
+    for (int attempt = 1; attempt <= 2; ++attempt) {
+        CHECK(f.scheduler.find_job(job_id{"j"})->state() != job_state::failed);
+        f.advance(3s);
+        const std::vector<start_command> starts = f.plan_and_store();
+        REQUIRE(starts.size() == 1);
+        f.confirm(starts[0]);
+        f.report(starts[0].target.id, {}, {ended(starts[0], 1, run_end::failed)});
+    }
+    CHECK(f.scheduler.find_job(job_id{"j"})->state() == job_state::failed);
+}
+
 TEST_CASE("a cancelled job stops its runs and starts none")
 {
     scheduler_fixture f;
