Answer calls for another team's job as for one that does not exist

With a key of one organisation, another one's jobs could be read and cancelled, and a submission with their name was answered as accepted: the front compared no teams (found by the review by reading).

The front now compares the team of the caller's key with that of the job, by name in the present configuration. A call for a foreign job gets unknown_job, a foreign submission invalid_job (400): 503 and 429 would invite callers to try again, 404 means no such queue, and 400 is what any unusable name gets. Such calls are logged (foreign_job_call) and counted (mjm_foreign_job_calls_total). Jobs of no team are open to all, those of an anonymous queue to its callers, who need no key. A job of a team that is no longer configured is open to each key, since the team may have been renamed and must not lose its jobs.

The leader tells the owner in a header beside the state, so a state call that it answers costs no call to the store; a submission is compared with the entry that the conflict returns. The body is the bare state, as earlier versions read it; if a leader of an earlier version tells no owner, the job's record is read. Without a leader a state call reads the record in addition to the progress.

--- a/src/plugins/jobs/job_codec.cpp
+++ b/src/plugins/jobs/job_codec.cpp
@@ -148,6 +148,23 @@
     }
 }
 
+std::string encode_owner(const job_owner& owner)
+{
+    const json out{{"queue", owner.queue.str()}, {"team", owner.team.str()}};
+    return out.dump(-1, ' ', true, json::error_handler_t::replace);
+}
+
+std::optional<job_owner> decode_owner(std::string_view text)
+{
+    try {
+        const json in = json::parse(text);
+        return job_owner{queue_id{in.at("queue").get<std::string>()},
+                         team_id{in.at("team").get<std::string>()}};
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encode_progress(const job& j)
 {
     json out{{"state", name_of(j.state())}, {"started", j.started()}};
--- a/src/plugins/jobs/job_codec.h
+++ b/src/plugins/jobs/job_codec.h
@@ -13,6 +13,11 @@
 /// Returns std::nullopt if the text is not a stored job.
 [[nodiscard]] std::optional<job_record> decode_job(const job_id& id, std::string_view text);
 
+/// Returns an owner as one line of ASCII text.
+[[nodiscard]] std::string encode_owner(const job_owner& owner);
+/// Returns std::nullopt if the text is not an owner.
+[[nodiscard]] std::optional<job_owner> decode_owner(std::string_view text);
+
 /// Returns the stored form of a job's progress: its state, and each task that has ever been started. A job in
 /// a final state is stored without its tasks.
 [[nodiscard]] std::string encode_progress(const job& j);
--- a/src/plugins/jobs/job_front.cpp
+++ b/src/plugins/jobs/job_front.cpp
@@ -8,9 +8,25 @@
 
 namespace mjm {
 
+namespace {
+
+/// Returns a callback that reports the state once the job is known to be visible.
+job_front::done_callback when_found(job_state state, job_front::state_callback done)
+{
+    return [state, done = std::move(done)](const tl::expected<void, front_errc>& found) {
+        if (found)
+            done(state);
+        else
+            done(tl::unexpected{found.error()});
+    };
+}
+
+} // namespace
+
 job_front::job_front(job_front_settings settings, transaction_store& store, leader_link& leader,
-                     const clock& time, logger log)
-    : settings_{settings}, store_{store}, leader_{leader}, time_{time}, log_{std::move(log)}
+                     const clock& time, logger log, metric_registry& metrics)
+    : settings_{settings}, store_{store}, leader_{leader}, time_{time}, log_{std::move(log)}, metrics_{
+                                                                                                  metrics}
 {
 }
 
@@ -67,6 +83,54 @@
                {"config_version", config_ ? config_->version : 0}});
 }
 
+job_front::job_call job_front::make_call(std::string name, const route& r)
+{
+    return {std::move(name), r.id, r.team, r.queue->anonymous ? r.queue->id : queue_id{}};
+}
+
+bool job_front::may_see(const job_call& call, const job_owner& owner) const
+{
+    if (owner.team.empty() || owner.team == call.team)
+        return true;
+    if (!call.open_queue.empty() && call.open_queue == owner.queue)
+        return true;
+    // A team that has been renamed must not lose its jobs, and who it is now is not known.
+    return !config_->teams.contains(owner.team);
+}
+
+bool job_front::check_owner(const job_call& call, const job_owner& owner)
+{
+    if (may_see(call, owner))
+        return true;
+    log_.warn("foreign_job_call",
+              {{"job", call.id}, {"call", call.name}, {"team", call.team}, {"owner", owner.team}});
+    metrics_
+        .counter("mjm_foreign_job_calls_total", "Calls for a job of another team, answered as unknown.",
+                 {{"call", call.name}})
+        .add();
+    return false;
+}
+
+bool job_front::check_record(const job_call& call, std::string_view text)
+{
+    const std::optional<job_record> record = decode_job(call.id, text);
+    return record && check_owner(call, {record->queue, record->team});
+}
+
+void job_front::find_accepted(const job_call& call, done_callback done)
+{
+    store_.get(job_keys::of(job_keys::accepted, call.id),
+               guarded_callback(
+                   alive_, [this, call, done = std::move(done)](const tl::expected<kv_entry, store_errc>& e) {
+                       if (e && check_record(call, e->value))
+                           done({});
+                       else if (e || e.error() == store_errc::not_found)
+                           done(tl::unexpected{front_errc::unknown_job});
+                       else
+                           done(tl::unexpected{front_errc::store_unavailable});
+                   }));
+}
+
 void job_front::submit(const caller_address& caller, job_spec spec, done_callback done)
 {
     const tl::expected<route, front_errc> r = resolve(caller);
@@ -98,24 +162,36 @@
     record.service = r->queue->service;
     record.team = r->team;
     record.accepted_ms = time_.unix_ms();
+    record.max_attempts = r->queue->max_attempts;
     record.spec = std::move(spec);
-    write_job(r->id, encode_job(record), time_.now() + settings_.write_timeout, false, std::move(done));
+    write_job(make_call("submit", *r), encode_job(record), time_.now() + settings_.write_timeout, false,
+              std::move(done));
 }
 
-void job_front::write_job(const job_id& id, const std::string& text, timestamp retry_until,
+void job_front::write_job(const job_call& call, const std::string& text, timestamp retry_until,
                           bool maybe_written, done_callback done)
 {
     store_transaction t;
-    const std::string key = job_keys::of(job_keys::accepted, id);
+    const std::string key = job_keys::of(job_keys::accepted, call.id);
     t.expected.emplace_back(key, 0);
     t.writes.push_back({key, text, std::nullopt, 0});
     store_.commit(
         std::move(t),
-        guarded_callback(alive_, [this, id, text, retry_until, maybe_written, done = std::move(done)](
+        guarded_callback(alive_, [this, call, text, retry_until, maybe_written, done = std::move(done)](
                                      const tl::expected<store_revision, transaction_error>& result) mutable {
             store_unreachable_ = !result && may_have_taken_effect(result.error().code);
-            if (result || result.error().code == store_errc::conflict) {
-                log_.info("job_accepted", {{"job", id},
+            const bool conflict = !result && result.error().code == store_errc::conflict;
+            const bool exists = conflict && !result.error().current.empty();
+            if (exists && !check_record(call, result.error().current.front().value)) {
+                log_.info("request_refused", {{"job", call.id},
+                                              {"call", call.name},
+                                              {"reason", name_of(front_errc::invalid_job)},
+                                              {"config_version", config_->version}});
+                done(tl::unexpected{front_errc::invalid_job});
+                return;
+            }
+            if (result || exists) {
+                log_.info("job_accepted", {{"job", call.id},
                                            {"outcome", result ? "stored" : "already stored"},
                                            {"revision", result ? *result : 0},
                                            {"config_version", config_->version}});
@@ -123,16 +199,16 @@
                 return;
             }
             const store_errc ec = result.error().code;
-            const bool unknown = maybe_written || may_have_taken_effect(ec);
+            const bool unknown = maybe_written || conflict || may_have_taken_effect(ec);
             // A job that is reported as refused must never run. After an attempt without an answer, only a
             // successful write or a conflict makes the outcome known.
             if (unknown && time_.now() < retry_until && ec != store_errc::unreachable) {
-                write_job(id, text, retry_until, true, std::move(done));
+                write_job(call, text, retry_until, true, std::move(done));
                 return;
             }
             const front_errc outcome = unknown ? front_errc::outcome_unknown : front_errc::store_unavailable;
             log_.warn("job_not_accepted",
-                      {{"job", id}, {"error", name_of(ec)}, {"outcome", name_of(outcome)}});
+                      {{"job", call.id}, {"error", name_of(ec)}, {"outcome", name_of(outcome)}});
             done(tl::unexpected{outcome});
         }));
 }
@@ -145,39 +221,39 @@
         done(tl::unexpected{r.error()});
         return;
     }
-    const job_id id = r->id;
-    store_.get(
-        job_keys::of(job_keys::accepted, id),
+    const auto cancel_found = [this, id = r->id,
+                               done = std::move(done)](const tl::expected<void, front_errc>& found) {
+        if (found)
+            write_cancellation(id, done);
+        else
+            done(found);
+    };
+    find_accepted(make_call("cancel", *r), cancel_found);
+}
+
+void job_front::write_cancellation(const job_id& id, done_callback done)
+{
+    store_transaction t;
+    const std::string key = job_keys::of(job_keys::cancelled, id);
+    t.expected.emplace_back(key, 0);
+    t.writes.push_back({key, std::to_string(time_.unix_ms()), std::nullopt, 0});
+    store_.commit(
+        std::move(t),
         guarded_callback(alive_, [this, id, done = std::move(done)](
-                                     const tl::expected<kv_entry, store_errc>& e) mutable {
-            if (!e) {
-                done(tl::unexpected{e.error() == store_errc::not_found ? front_errc::unknown_job
-                                                                       : front_errc::store_unavailable});
+                                     const tl::expected<store_revision, transaction_error>& result) {
+            if (result || result.error().code == store_errc::conflict) {
+                log_.info("cancel_accepted", {{"job", id}});
+                done({});
                 return;
             }
-            store_transaction t;
-            const std::string key = job_keys::of(job_keys::cancelled, id);
-            t.expected.emplace_back(key, 0);
-            t.writes.push_back({key, std::to_string(time_.unix_ms()), std::nullopt, 0});
-            store_.commit(
-                std::move(t),
-                guarded_callback(alive_, [this, id, done = std::move(done)](
-    record.max_attempts = r->queue->max_attempts;
-                                             const tl::expected<store_revision, transaction_error>& result) {
-                    if (result || result.error().code == store_errc::conflict) {
-                        log_.info("cancel_accepted", {{"job", id}});
-                        done({});
-                        return;
-                    }
-                    const store_errc ec = result.error().code;
-                    log_.warn("cancel_not_accepted", {{"job", id}, {"error", name_of(ec)}});
-                    done(tl::unexpected{may_have_taken_effect(ec) ? front_errc::outcome_unknown
-                                                                  : front_errc::store_unavailable});
-                }));
+            const store_errc ec = result.error().code;
+            log_.warn("cancel_not_accepted", {{"job", id}, {"error", name_of(ec)}});
+            done(tl::unexpected{may_have_taken_effect(ec) ? front_errc::outcome_unknown
+                                                          : front_errc::store_unavailable});
         }));
 }
 
-void job_front::state_of(const caller_address& caller, leader_link::state_callback done)
+void job_front::state_of(const caller_address& caller, state_callback done)
 {
     const tl::expected<route, front_errc> r = resolve(caller);
     if (!r) {
@@ -185,46 +261,38 @@
         done(tl::unexpected{r.error()});
         return;
     }
-    const job_id id = r->id;
-    leader_.state_of(id, guarded_callback(alive_, [this, id, done = std::move(done)](
-                                                      const tl::expected<job_state, front_errc>& state) {
-                         if (state)
-                             done(*state);
+    leader_.state_of(r->id,
+                     guarded_callback(alive_, [this, call = make_call("state", *r), done = std::move(done)](
+                                                  const tl::expected<job_status, front_errc>& status) {
+                         if (!status)
+                             read_state(call, done);
+                         else if (!status->owner)
+                             find_accepted(call, when_found(status->state, done));
+                         else if (check_owner(call, *status->owner))
+                             done(status->state);
                          else
-                             read_state(id, done);
+                             done(tl::unexpected{front_errc::unknown_job});
                      }));
 }
 
-void job_front::read_state(const job_id& id, leader_link::state_callback done)
+void job_front::read_state(const job_call& call, state_callback done)
 {
-    store_.get(job_keys::of(job_keys::progress, id),
-               guarded_callback(alive_, [this, id, done = std::move(done)](
+    // The progress is read first: a job that is removed between the reads is not taken for one without any.
+    store_.get(job_keys::of(job_keys::progress, call.id),
+               guarded_callback(alive_, [this, call, done = std::move(done)](
                                             const tl::expected<kv_entry, store_errc>& e) {
                    if (!e && e.error() != store_errc::not_found) {
                        done(tl::unexpected{front_errc::store_unavailable});
                        return;
                    }
-                   const std::optional<job_state> state = e ? decode_progress_state(e->value) : std::nullopt;
-                   if (state)
-                       done(*state == job_state::pending ? job_state::running : *state);
-                   else
-                       read_accepted(id, done);
+                   const std::optional<job_state> stored = e ? decode_progress_state(e->value) : std::nullopt;
+                   job_state state = stored.value_or(job_state::pending);
+                   if (stored == job_state::pending)
+                       state = job_state::running;
+                   find_accepted(call, when_found(state, done));
                }));
 }
 
-void job_front::read_accepted(const job_id& id, leader_link::state_callback done)
-{
-    store_.get(job_keys::of(job_keys::accepted, id),
-               [done = std::move(done)](const tl::expected<kv_entry, store_errc>& e) {
-                   if (e)
-                       done(job_state::pending);
-                   else if (e.error() == store_errc::not_found)
-                       done(tl::unexpected{front_errc::unknown_job});
-                   else
-                       done(tl::unexpected{front_errc::store_unavailable});
-               });
-}
-
 void job_front::waiting_jobs(const caller_address& caller, leader_link::count_callback done)
 {
     const tl::expected<route, front_errc> r = resolve(caller);
--- a/src/plugins/jobs/job_front.h
+++ b/src/plugins/jobs/job_front.h
@@ -4,6 +4,7 @@
 #include "jobs/fleet_config.h"
 #include "jobs/transaction_store.h"
 #include "logging/logger.h"
+#include "metrics/metric_registry.h"
 
 #include <tl/expected.hpp>
 
@@ -15,12 +16,13 @@
 
 /// Reason why a caller's request failed.
 enum class front_errc {
-    no_config,          ///< This host has not received a configuration yet; nothing was done.
-    no_such_queue,      ///< No queue matches the host and path.
-    unknown_key,        ///< The key belongs to no team.
-    invalid_job,        ///< The job's name or specification is invalid; nothing was done.
+    no_config,     ///< This host has not received a configuration yet; nothing was done.
+    no_such_queue, ///< No queue matches the host and path.
+    unknown_key,   ///< The key belongs to no team.
+    invalid_job,   ///< The job's name or specification is invalid, or another team uses the name; nothing was
+                   ///< done.
     unsupported_job,    ///< The job needs gangs or advice, which are not supported; nothing was done.
-    unknown_job,        ///< No job with this name exists.
+    unknown_job,        ///< No job with this name exists, or the caller's team may not see it.
     store_unavailable,  ///< The store refused the request or is unreachable; nothing was done.
     outcome_unknown,    ///< The store did not answer; the change may have been made.
     leader_unavailable, ///< No leader answered.
@@ -47,7 +49,7 @@
 public:
     /// The error is `unknown_job` if the leader does not know the job, `leader_unavailable` if no leader
     /// answered.
-    using state_callback = std::function<void(tl::expected<job_state, front_errc>)>;
+    using state_callback = std::function<void(tl::expected<job_status, front_errc>)>;
     using count_callback = std::function<void(tl::expected<std::size_t, front_errc>)>;
 
     leader_link() = default;
@@ -78,24 +80,26 @@
     duration probe_interval{std::chrono::milliseconds{400}};
 };
 
-/// Handles callers' requests on any entry host. A job is accepted as soon as the store has it. Each callback
-/// runs once, either later or from within the call.
+/// Handles callers' requests on any entry host. A job is accepted as soon as the store has it. A job of
+/// another team is answered like one that does not exist. Each callback runs once, either later or from
+/// within the call.
 class job_front {
 public:
     using done_callback = std::function<void(tl::expected<void, front_errc>)>;
+    using state_callback = std::function<void(tl::expected<job_state, front_errc>)>;
 
     job_front(job_front_settings settings, transaction_store& store, leader_link& leader, const clock& time,
-              logger log);
+              logger log, metric_registry& metrics);
 
     void set_config(std::shared_ptr<const fleet_config> config) { config_ = std::move(config); }
     [[nodiscard]] bool configured() const { return config_ != nullptr; }
 
-    /// Stores a job. Succeeds as well if a job with this name has been accepted before.
+    /// Stores a job. Succeeds as well if the team's job with this name has been accepted before.
     void submit(const caller_address& caller, job_spec spec, done_callback done);
     /// Stores the request to cancel a job. Succeeds as well if the job has already been cancelled.
     void cancel(const caller_address& caller, done_callback done);
     /// Asks the leader for the state of a job, and reads it from the store if the leader can't tell.
-    void state_of(const caller_address& caller, leader_link::state_callback done);
+    void state_of(const caller_address& caller, state_callback done);
     /// Asks the leader for the number of waiting jobs of the queue.
     void waiting_jobs(const caller_address& caller, leader_link::count_callback done);
 
@@ -110,16 +114,31 @@
     [[nodiscard]] bool may_try_store();
     [[nodiscard]] bool valid(const job_spec& spec) const;
     void log_refusal(const char* call, const caller_address& caller, front_errc ec) const;
-    void write_job(const job_id& id, const std::string& text, timestamp retry_until, bool maybe_written,
+    /// A call for one job, as far as it decides whose jobs the caller may see.
+    struct job_call {
+        std::string name;
+        job_id id;
+        team_id team;
+        queue_id open_queue; ///< The caller's queue if it is open to all, else empty.
+    };
+    [[nodiscard]] static job_call make_call(std::string name, const route& r);
+    [[nodiscard]] bool may_see(const job_call& call, const job_owner& owner) const;
+    /// The same; a call that concerns another team's job is logged and counted.
+    [[nodiscard]] bool check_owner(const job_call& call, const job_owner& owner);
+    [[nodiscard]] bool check_record(const job_call& call, std::string_view text);
+    /// Reports `unknown_job` unless the store has the job and the caller may see it.
+    void find_accepted(const job_call& call, done_callback done);
+    void write_job(const job_call& call, const std::string& text, timestamp retry_until, bool maybe_written,
                    done_callback done);
-    void read_state(const job_id& id, leader_link::state_callback done);
-    void read_accepted(const job_id& id, leader_link::state_callback done);
+    void write_cancellation(const job_id& id, done_callback done);
+    void read_state(const job_call& call, state_callback done);
 
     const job_front_settings settings_;
     transaction_store& store_;
     leader_link& leader_;
     const clock& time_;
     logger log_;
+    metric_registry& metrics_;
     std::shared_ptr<const fleet_config> config_;
     /// Callbacks of calls that end after the destruction of this object do nothing.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -452,14 +452,14 @@
                            }));
 }
 
-tl::expected<job_state, leader_errc> job_leader::state_of(const job_id& id) const
+tl::expected<job_status, leader_errc> job_leader::state_of(const job_id& id) const
 {
     if (!loaded_)
         return tl::unexpected{leader_errc::loading};
     const job* j = scheduler_.find_job(id);
     if (j == nullptr)
         return tl::unexpected{leader_errc::unknown_job};
-    return j->shown_state();
+    return job_status{j->shown_state(), job_owner{j->record().queue, j->record().team}};
 }
 
 tl::expected<std::size_t, leader_errc> job_leader::waiting_jobs(const queue_id& queue) const
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -63,8 +63,8 @@
 
     /// Whether all stored jobs have been read.
     [[nodiscard]] bool loaded() const { return loaded_; }
-    /// Returns the state of a job as callers see it.
-    [[nodiscard]] tl::expected<job_state, leader_errc> state_of(const job_id& id) const;
+    /// Returns the state of a job as callers see it, and its owner.
+    [[nodiscard]] tl::expected<job_status, leader_errc> state_of(const job_id& id) const;
     /// Returns the number of waiting jobs of a queue. Fails if this leader may not know of recent ones.
     [[nodiscard]] tl::expected<std::size_t, leader_errc> waiting_jobs(const queue_id& queue) const;
 
--- a/src/plugins/jobs/job_node.cpp
+++ b/src/plugins/jobs/job_node.cpp
@@ -13,9 +13,12 @@
 } // namespace
 
 job_node::job_node(job_node_settings settings, job_node_services services)
-    : settings_{std::move(settings)}, services_{std::move(services)}, front_{settings_.front, services_.store,
-                                                                             services_.leader, services_.time,
-                                                                             services_.log},
+    : settings_{std::move(settings)}, services_{std::move(services)}, front_{settings_.front,
+                                                                             services_.store,
+                                                                             services_.leader,
+                                                                             services_.time,
+                                                                             services_.log,
+                                                                             services_.metrics},
       election_{services_.store, services_.time, services_.random,
                 with_address(settings_.election, settings_.peer_address),
                 [this](leadership_event event, const std::string& detail) { on_election(event, detail); }}
--- a/src/plugins/jobs/job_types.h
+++ b/src/plugins/jobs/job_types.h
@@ -80,6 +80,12 @@
     job_spec spec;
 };
 
+/// The queue and the team with which a job was accepted, which decide who may see and cancel it.
+struct job_owner {
+    queue_id queue;
+    team_id team; ///< Empty for a job that is open to all.
+};
+
 enum class job_state { pending, running, completed, failed, cancelled };
 
 template <>
@@ -93,6 +99,12 @@
     }};
 };
 
+/// What the leader tells about a job.
+struct job_status {
+    job_state state = job_state::pending;
+    std::optional<job_owner> owner; ///< Unset in answers of earlier versions.
+};
+
 /// Whether a job in this state has ended and never runs again.
 [[nodiscard]] constexpr bool is_final(job_state s)
 {
--- a/src/plugins/jobs/peer_jobs.cpp
+++ b/src/plugins/jobs/peer_jobs.cpp
@@ -1,6 +1,7 @@
 #include "jobs/peer_jobs.h"
 
 #include "core/number_text.h"
+#include "jobs/job_codec.h"
 #include "net/endpoint_text.h"
 #include "net/http_code.h"
 
@@ -11,6 +12,8 @@
 // A leader answers from memory. If it takes longer than this, reading the store is faster.
 constexpr std::chrono::milliseconds peer_timeout{400};
 
+constexpr std::string_view owner_header = "job-owner";
+
 } // namespace
 
 peer_leader_link::peer_leader_link(http_client& client, executor& callbacks, source where)
@@ -21,12 +24,12 @@
 void peer_leader_link::state_of(const job_id& id, state_callback done)
 {
     if (const job_leader* leader = where_.local()) {
-        const tl::expected<job_state, leader_errc> state = leader->state_of(id);
-        if (state)
-            done(*state);
+        const tl::expected<job_status, leader_errc> status = leader->state_of(id);
+        if (status)
+            done(*status);
         else
-            done(tl::unexpected{state.error() == leader_errc::unknown_job ? front_errc::unknown_job
-                                                                          : front_errc::leader_unavailable});
+            done(tl::unexpected{status.error() == leader_errc::unknown_job ? front_errc::unknown_job
+                                                                           : front_errc::leader_unavailable});
         return;
     }
     ask("/jobs/" + id.str(), [done = std::move(done)](const tl::expected<http_response, front_errc>& r) {
@@ -34,9 +37,8 @@
             done(tl::unexpected{r.error()});
             return;
         }
-        const std::optional<job_state> state = parse_enum<job_state>(r->body);
-        if (state)
-            done(*state);
+        if (const std::optional<job_status> status = read_job_status(*r))
+            done(*status);
         else
             done(tl::unexpected{front_errc::leader_unavailable});
     });
@@ -87,6 +89,19 @@
                  });
 }
 
+std::optional<job_status> read_job_status(const http_response& answer)
+{
+    const std::optional<job_state> state = parse_enum<job_state>(answer.body);
+    if (!state)
+        return std::nullopt;
+    job_status status{*state, std::nullopt};
+    for (const auto& [name, value] : answer.headers) {
+        if (name == owner_header)
+            status.owner = decode_owner(value);
+    }
+    return status;
+}
+
 http_response answer_peer(const http_request& request, const job_leader* leader)
 {
     http_response response;
@@ -96,11 +111,14 @@
     if (leader == nullptr || path.size() != 2)
         return response;
     if (path[0] == "jobs") {
-        const tl::expected<job_state, leader_errc> state = leader->state_of(job_id{path[1]});
-        if (state) {
+        const tl::expected<job_status, leader_errc> status = leader->state_of(job_id{path[1]});
+        if (status) {
             response.status = http_code::ok;
-            response.body = name_of(*state);
-        } else if (state.error() == leader_errc::unknown_job) {
+            response.body = name_of(status->state);
+            // Not in the body, which earlier versions read as the state.
+            if (status->owner)
+                response.headers.emplace_back(owner_header, encode_owner(*status->owner));
+        } else if (status.error() == leader_errc::unknown_job) {
             response.status = http_code::not_found;
         }
     } else if (path[0] == "queues") {
--- a/src/plugins/jobs/peer_jobs.h
+++ b/src/plugins/jobs/peer_jobs.h
@@ -7,6 +7,7 @@
 #include "net/http_message.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace mjm {
@@ -35,9 +36,12 @@
     const source where_;
 };
 
-/// Answers a request of another entry host: `GET /jobs/ID` with the job's state, `GET /queues/ID` with the
-/// number of the queue's waiting jobs. The status is 404 for an unknown job or path, and 503 if this host
-/// does not lead or has not loaded the jobs yet.
+/// Returns the job's status from an answer to `GET /jobs/ID`, or std::nullopt if it is malformed.
+[[nodiscard]] std::optional<job_status> read_job_status(const http_response& answer);
+
+/// Answers a request of another entry host: `GET /jobs/ID` with the job's state and owner, `GET /queues/ID`
+/// with the number of the queue's waiting jobs. The status is 404 for an unknown job or path, and 503 if this
+/// host does not lead or has not loaded the jobs yet.
 [[nodiscard]] http_response answer_peer(const http_request& request, const job_leader* leader);
 
 } // namespace mjm
--- a/src/plugins/jobs/tests/fleet_simulation.cpp
+++ b/src/plugins/jobs/tests/fleet_simulation.cpp
@@ -134,8 +134,8 @@
 void fleet_simulation::query_states(const job_leader& leader)
 {
     for (const std::string& id : accepted) {
-        const tl::expected<job_state, leader_errc> state = leader.state_of(job_id{id});
-        if (state && *state == job_state::completed)
+        const tl::expected<job_status, leader_errc> status = leader.state_of(job_id{id});
+        if (status && status->state == job_state::completed)
             fleet.shown_completed.insert(job_id{id});
     }
 }
--- a/src/plugins/jobs/tests/tst_job_front.cpp
+++ b/src/plugins/jobs/tests/tst_job_front.cpp
@@ -2,7 +2,6 @@
 #include "jobs/job_codec.h"
 #include "jobs/job_front.h"
 #include "jobs/job_keys.h"
-#include "no_leader.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,13 +10,32 @@
 
 namespace {
 
+/// A leader that tells one status of all jobs, or does not answer.
+class told_leader final : public leader_link {
+public:
+    std::optional<job_status> status;
+
+    void state_of(const job_id& /*id*/, state_callback done) override
+    {
+        if (status)
+            done(*status);
+        else
+            done(tl::unexpected{front_errc::leader_unavailable});
+    }
+    void waiting_jobs(const queue_id& /*queue*/, count_callback done) override
+    {
+        done(tl::unexpected{front_errc::leader_unavailable});
+    }
+};
+
 struct front_fixture {
     virtual_loop loop;
     fake_transaction_store store{loop};
     fake_store_link link{loop, store};
-    no_leader leader;
+    told_leader leader;
     log_sink sink{log_settings{}, loop.time(), [](const std::string&) {}};
-    job_front front{{}, link, leader, loop.time(), logger{sink, "front"}};
+    metric_registry metrics;
+    job_front front{{}, link, leader, loop.time(), logger{sink, "front"}, metrics};
     std::shared_ptr<fleet_config> config = std::make_shared<fleet_config>();
 
     front_fixture()
@@ -28,7 +46,10 @@
         q.prefix = "/q/";
         q.service = service_id{"s"};
         config->queues.push_back(q);
-        config->teams_by_key.emplace("key", team_id{"t"});
+        for (const auto& [key, team] : {std::pair{"key", "t"}, std::pair{"other key", "u"}}) {
+            config->teams_by_key.emplace(key, team_id{team});
+            config->teams[team_id{team}].id = team_id{team};
+        }
         front.set_config(config);
     }
     static job_spec spec()
@@ -37,20 +58,33 @@
         out.steps.emplace_back();
         return out;
     }
-    tl::expected<void, front_errc> submit(const std::string& id, duration wait = 5s)
+    tl::expected<void, front_errc> submit(const std::string& id, duration wait = 5s,
+                                          const std::string& key = "key")
     {
         // Shared with the callback, which may be called after this function has returned.
         const std::shared_ptr<tl::expected<void, front_errc>> result =
             std::make_shared<tl::expected<void, front_errc>>(tl::unexpected{front_errc::no_config});
-        front.submit({"h.example", "/q/" + id, "key"}, spec(),
+        front.submit({"h.example", "/q/" + id, key}, spec(),
                      [result](const tl::expected<void, front_errc>& r) { *result = r; });
         loop.run_for(wait);
         return *result;
     }
-    tl::expected<job_state, front_errc> state(const std::string& id)
+    tl::expected<void, front_errc> cancel(const std::string& id, const std::string& key)
+    {
+        tl::expected<void, front_errc> result{tl::unexpected{front_errc::no_config}};
+        front.cancel({"h.example", "/q/" + id, key},
+                     [&result](const tl::expected<void, front_errc>& r) { result = r; });
+        loop.run_for(1s);
+        return result;
+    }
+    [[nodiscard]] bool cancelled(const std::string& id)
+    {
+        return store.find(job_keys::of(job_keys::cancelled, job_id{id})) != nullptr;
+    }
+    tl::expected<job_state, front_errc> state(const std::string& id, const std::string& key = "key")
     {
         tl::expected<job_state, front_errc> result{tl::unexpected{front_errc::no_config}};
-        front.state_of({"h.example", "/q/" + id, "key"},
+        front.state_of({"h.example", "/q/" + id, key},
                        [&result](const tl::expected<job_state, front_errc>& r) { result = r; });
         loop.run_for(1s);
         return result;
@@ -69,6 +103,17 @@
     CHECK(f.state("b").error() == front_errc::unknown_job);
 }
 
+TEST_CASE("a job is stored with the number of attempts that its queue has")
+{
+    front_fixture f;
+    f.config->queues.front().max_attempts = 4;
+    REQUIRE(f.submit("a"));
+    const std::optional<job_record> record =
+        decode_job(job_id{"a"}, f.store.find(job_keys::of(job_keys::accepted, job_id{"a"}))->value);
+    REQUIRE(record);
+    CHECK(record->max_attempts == 4);
+}
+
 // Guards against a job that is reported as not run although the store has it and only its answer was lost.
 TEST_CASE("an unknown outcome is resolved by another write before the caller is answered")
 {
@@ -103,17 +148,6 @@
     CHECK(f.store.find("mjm/inbox/job/c") == nullptr);
 }
 
-TEST_CASE("a job is stored with the number of attempts that its queue has")
-{
-    front_fixture f;
-    f.config->queues.front().max_attempts = 4;
-    REQUIRE(f.submit("a"));
-    const std::optional<job_record> record =
-        decode_job(job_id{"a"}, f.store.find(job_keys::of(job_keys::accepted, job_id{"a"}))->value);
-    REQUIRE(record);
-    CHECK(record->max_attempts == 4);
-}
-
 TEST_CASE("each reason to refuse a job has its own error code")
 {
     front_fixture f;
@@ -136,3 +170,90 @@
     CHECK(submit({"h.example", "/q/a", "key"}, gang) == front_errc::unsupported_job);
     CHECK(f.store.list(std::string{job_keys::accepted}).empty());
 }
+
+// Guards against a key that reads or cancels the jobs of another team.
+TEST_CASE("a job of another team is answered like one that does not exist")
+{
+    front_fixture f;
+    REQUIRE(f.submit("a"));
+    CHECK(f.state("a", "other key").error() == front_errc::unknown_job);
+    CHECK(f.cancel("a", "other key").error() == front_errc::unknown_job);
+    CHECK_FALSE(f.cancelled("a"));
+    CHECK(f.state("a") == job_state::pending);
+
+    f.leader.status = job_status{job_state::running, job_owner{queue_id{"q"}, team_id{"t"}}};
+    f.link.reachable = false; // The leader's answer suffices.
+    CHECK(f.state("a", "other key").error() == front_errc::unknown_job);
+    CHECK(f.state("a") == job_state::running);
+    f.link.reachable = true;
+    CHECK(f.cancel("a", "key"));
+    CHECK(f.cancelled("a"));
+    CHECK(f.metrics.text().find("mjm_foreign_job_calls_total{call=\"state\"} 2") != std::string::npos);
+    CHECK(f.metrics.text().find("mjm_foreign_job_calls_total{call=\"cancel\"} 1") != std::string::npos);
+}
+
+TEST_CASE("a leader of an earlier version, which tells no owner, reveals no job of another team")
+{
+    front_fixture f;
+    REQUIRE(f.submit("a"));
+    f.leader.status = job_status{job_state::running, std::nullopt};
+    CHECK(f.state("a", "other key").error() == front_errc::unknown_job);
+    CHECK(f.state("a") == job_state::running);
+}
+
+TEST_CASE("a name that another team uses is refused and remains its job")
+{
+    front_fixture f;
+    REQUIRE(f.submit("a"));
+    const std::string stored = f.store.find(job_keys::of(job_keys::accepted, job_id{"a"}))->value;
+    CHECK(f.submit("a", 5s, "other key").error() == front_errc::invalid_job);
+    CHECK(f.store.find(job_keys::of(job_keys::accepted, job_id{"a"}))->value == stored);
+    CHECK(f.submit("a"));
+}
+
+// Guards against a team that loses its jobs with the key under which they were accepted.
+TEST_CASE("a team keeps its jobs when its key is withdrawn or its name changes")
+{
+    front_fixture f;
+    REQUIRE(f.submit("a"));
+    f.config->teams_by_key.erase("key");
+    f.config->teams_by_key.emplace("new key", team_id{"t"});
+    CHECK(f.state("a", "new key") == job_state::pending);
+    CHECK(f.state("a", "other key").error() == front_errc::unknown_job);
+
+    f.config->teams_by_key["new key"] = team_id{"renamed"};
+    f.config->teams.erase(team_id{"t"});
+    f.config->teams[team_id{"renamed"}].id = team_id{"renamed"};
+    CHECK(f.state("a", "new key") == job_state::pending);
+    CHECK(f.cancel("a", "new key"));
+}
+
+TEST_CASE("a job of an anonymous queue is seen through this queue without a key, and one of a team is not")
+{
+    front_fixture f;
+    REQUIRE(f.submit("c"));
+    queue_config open = f.config->queues.front();
+    open.id = queue_id{"open"};
+    open.prefix = "/open/";
+    open.anonymous = true;
+    f.config->queues.push_back(open);
+    const auto state = [&f](const std::string& path, const std::string& key) {
+        tl::expected<job_state, front_errc> result{tl::unexpected{front_errc::no_config}};
+        f.front.state_of({"h.example", path, key},
+                         [&result](const tl::expected<job_state, front_errc>& r) { result = r; });
+        f.loop.run_for(1s);
+        return result;
+    };
+    const auto submit = [&f](const std::string& path, const std::string& key) {
+        bool accepted = false;
+        f.front.submit({"h.example", path, key}, front_fixture::spec(),
+                       [&accepted](const tl::expected<void, front_errc>& r) { accepted = r.has_value(); });
+        f.loop.run_for(1s);
+        return accepted;
+    };
+    REQUIRE(submit("/open/a", ""));
+    REQUIRE(submit("/open/b", "key"));
+    CHECK(state("/open/a", "") == job_state::pending);
+    CHECK(state("/open/b", "") == job_state::pending);
+    CHECK(state("/open/c", "").error() == front_errc::unknown_job);
+}
--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -1,4 +1,6 @@
 #include "fleet_simulation.h"
+#include "jobs/job_codec.h"
+#include "jobs/peer_jobs.h"
 
 #include <catch2/catch.hpp>
 
@@ -42,6 +44,29 @@
     CHECK(f.fleet.starts == std::size_t{8} * 5);
 }
 
+TEST_CASE("a leader tells other hosts a job's owner beside the state that earlier versions read")
+{
+    fleet_simulation f{2};
+    f.run_for(1s);
+    f.submit("j", 2);
+    f.run_for(500ms);
+    REQUIRE(f.leader() != nullptr);
+    http_request request;
+    request.path = "/jobs/j";
+    http_response answer = answer_peer(request, f.leader()->node->leader());
+    CHECK(answer.body == "running");
+    const std::optional<job_status> status = read_job_status(answer);
+    REQUIRE(status);
+    CHECK(status->state == job_state::running);
+    REQUIRE(status->owner);
+    CHECK(status->owner->queue == queue_id{"q"});
+    answer.headers.clear();
+    CHECK_FALSE(read_job_status(answer)->owner);
+    CHECK(decode_owner(encode_owner({queue_id{"q"}, team_id{"a\r\n\u00e4"}}))->team ==
+          team_id{"a\r\n\u00e4"});
+    CHECK(encode_owner({queue_id{"q"}, team_id{"a\r\n\u00e4"}}) == R"({"queue":"q","team":"a\r\n\u00e4"})");
+}
+
 // Guards against a job that was reported as completed and is unknown as such to the next leader. A leader
 // that had lost the store reported the completion from memory, and then the targets crashed, so that the last
 // tasks ran twice (rule TWICE).
