Resolve the loss of a target whose successor came before its lease was over

A task that crashes its targets was started without end if each host had its next target, at another address, before the lease of the lost one was over. Only the addition of a target resolved the losses on its host, and this loss was noted later, so it stayed unresolved and counted as silence.

A loss now looks for the successor when it is noted, too, by the same comparison of host and incarnation; so it is resolved by whichever comes second.

--- a/src/plugins/jobs/scheduler_crashes.cpp
+++ b/src/plugins/jobs/scheduler_crashes.cpp
@@ -135,6 +135,13 @@
     const std::vector<lost_run> suspects = note_lost_target(t, time);
     discard_runs_of_target(t, "target lost", time);
     give_up_jobs(suspects, time);
+    // A successor that was added before the lease was over has not resolved the loss.
+    const auto successor = std::find_if(targets_.begin(), targets_.end(), [&t](const auto& entry) {
+        const target_info& info = entry.second.info;
+        return !info.host.empty() && info.host == t.info.host && info.incarnation > t.info.incarnation;
+    });
+    if (successor != targets_.end())
+        resolve_lost_target(t.info.id, successor->second.info.incarnation, time);
 }
 
 std::vector<job_scheduler::lost_run> job_scheduler::note_lost_target(const target_status& t,
--- a/src/plugins/jobs/tests/tst_target_crashes.cpp
+++ b/src/plugins/jobs/tests/tst_target_crashes.cpp
@@ -207,15 +207,21 @@
         lose_in_silence(f, target_id{"a"});
         f.report(target_id{"a"}, {}, {}, 2);
     }
+    target_info successor = f.info_of("a2");
+    successor.host = "host-a";
+    successor.incarnation = 2;
     SECTION("its host has a new target")
     {
         f.scheduler.unlist_target(target_id{"a"}, f.now());
         lose_in_silence(f, target_id{"a"});
-        target_info successor = f.info_of("a2");
-        successor.host = "host-a";
-        successor.incarnation = 2;
         f.scheduler.set_target(successor, f.now());
     }
+    SECTION("its host has had a new target since before the lease ran out")
+    {
+        f.scheduler.unlist_target(target_id{"a"}, f.now());
+        f.scheduler.set_target(successor, f.now());
+        lose_in_silence(f, target_id{"a"});
+    }
     CHECK(history_of(f, "j") == crash_history{1, 0, 0});
 }
 
