--- a/src/plugins/jobs/job_codec.cpp
+++ b/src/plugins/jobs/job_codec.cpp
@@ -112,6 +112,8 @@
     json out{{"queue", record.queue.str()},    {"service", record.service.str()},
              {"team", record.team.str()},      {"accepted_ms", record.accepted_ms},
              {"payload", record.spec.payload}, {"steps", std::move(steps)}};
+    if (record.max_attempts != 0)
+        out["max_attempts"] = record.max_attempts;
     if (record.spec.scheduled) {
         out["occurrences"] = record.spec.occurrences;
         out["first_due_ms"] = record.spec.first_due_ms;
@@ -130,6 +132,7 @@
         record.service = service_id{in.at("service").get<std::string>()};
         record.team = team_id{in.at("team").get<std::string>()};
         record.accepted_ms = in.at("accepted_ms").get<std::int64_t>();
+        record.max_attempts = in.value("max_attempts", 0U);
         record.spec.payload = in.at("payload").get<std::string>();
         for (const json& s : in.at("steps"))
             record.spec.steps.push_back(decode_step(s));
@@ -145,6 +148,23 @@
     }
 }
 
+std::string encode_owner(const job_owner& owner)
+{
+    const json out{{"queue", owner.queue.str()}, {"team", owner.team.str()}};
+    return out.dump(-1, ' ', true, json::error_handler_t::replace);
+}
+
+std::optional<job_owner> decode_owner(std::string_view text)
+{
+    try {
+        const json in = json::parse(text);
+        return job_owner{queue_id{in.at("queue").get<std::string>()},
+                         team_id{in.at("team").get<std::string>()}};
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encode_progress(const job& j)
 {
     json out{{"state", name_of(j.state())}, {"started", j.started()}};
