Take a confirmed order for a host as the end of its runs by proof only

The runs of the host's target were then discarded on one unanswered observation, even one that had been sent before the order, and started elsewhere; with a lost answer both ran (TWICE).

The runs now end when the platform's list shows the host as down, when the host's next target registers, or with the lease. The case of tst_jobs about confirmed orders demanded the former behaviour (discarded on one missed answer), which the protocol doesn't justify; its successor checks each of the three proofs and that silence is none, and fails on the former code.

--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -129,10 +129,14 @@
         const auto host = hosts_.find(id);
         if (host == hosts_.end())
             return requested_at - last_listed_[id] > settings_.missing_timeout;
-        if (!is_over(entry.second, host->second, requested_at))
+        const pending_order& pending = entry.second;
+        if (pending.outcome != order_outcome::not_done && requested_at > pending.sent_at &&
+            host->second.state != host_state::up)
+            scheduler_.on_host_taken_down(pending.order.target, {time_.now(), time_.unix_ms()});
+        if (!is_over(pending, host->second, requested_at))
             return false;
-        if (host->second.target == entry.second.order.target)
-            scheduler_.set_leaving(entry.second.order.target, false);
+        if (host->second.target == pending.order.target)
+            scheduler_.set_leaving(pending.order.target, false);
         return true;
     });
 }
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -192,6 +192,7 @@
         t.info = info;
         t.incarnation_known_at = time.now;
         resolve_predecessors(info, time);
+        end_ordered_predecessors(info, time);
     } else {
         if (info.incarnation > t.info.incarnation) {
             on_target_restart(t, info.incarnation, time);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -162,9 +162,12 @@
     /// permanent tasks only if no other host has free capacity.
     void set_cordons(const std::set<std::string>& cordoned, const std::set<std::string>& maintained_soon);
     /// Handles the platform's confirmation that the target's host was moved or maintained, now or earlier.
-    /// The target's runs are discarded once it fails to answer. If it does answer, the confirmed order was an
-    /// earlier one, and the target and its runs are kept.
+    /// If the target answers afterwards, the confirmed order was an earlier one, and the target and its runs
+    /// are kept. Silence alone does not show which it was: the runs are then kept until `on_host_taken_down`,
+    /// a successor on the host, or the end of the lease.
     void on_host_order_confirmed(const target_id& id, scheduler_time time);
+    /// Handles that the target's host is down, as listed by the platform, so that all its runs have ended.
+    void on_host_taken_down(const target_id& id, scheduler_time time);
     [[nodiscard]] pool_demand demand_of(const service_id& service) const;
     [[nodiscard]] bool only_permanent_runs(const target_id& id) const;
     [[nodiscard]] bool has_permanent_runs(const target_id& id) const;
@@ -347,6 +350,8 @@
     /// run on `except`.
     [[nodiscard]] std::uint32_t unavailable_tasks(job& j, std::uint32_t step, const target_id& except) const;
     void on_host_down(target_status& t, scheduler_time time);
+    /// Handles that targets whose hosts were ordered down have a successor on their host.
+    void end_ordered_predecessors(const target_info& successor, scheduler_time time);
 
     // scheduler_plan.cpp
     void plan_pool(const service_id& service, service_queue& queue, scheduler_time time);
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -39,6 +39,24 @@
     t->synced = t->synced && !t->settled();
 }
 
+void job_scheduler::on_host_taken_down(const target_id& id, scheduler_time time)
+{
+    target_status* t = find_target(id);
+    if (t != nullptr && (t->listed || !t->runs.empty()))
+        on_host_down(*t, time);
+}
+
+void job_scheduler::end_ordered_predecessors(const target_info& successor, scheduler_time time)
+{
+    if (successor.host.empty())
+        return;
+    for (auto& [id, t] : targets_) {
+        if (t.info.host == successor.host && t.ordered_down_at != timestamp{} &&
+            t.info.incarnation < successor.incarnation)
+            on_host_down(t, time);
+    }
+}
+
 void job_scheduler::on_host_down(target_status& t, scheduler_time time)
 {
     discard_runs_of_target(t, "host was moved or maintained", time);
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -268,10 +268,6 @@
         t.next_observation = time.now + settings_.unreachable_retry;
         return;
     }
-    if (t.ordered_down_at != timestamp{}) {
-        on_host_down(t, time);
-        return;
-    }
     ++t.missed_observations;
     if (t.reachable && t.missed_observations >= settings_.misses_until_unreachable) {
         t.reachable = false;
--- a/src/plugins/jobs/tests/tst_job_scheduler.cpp
+++ b/src/plugins/jobs/tests/tst_job_scheduler.cpp
@@ -417,7 +417,7 @@
 
 // Guards against a second run of a task beside the first: the platform also confirms a host order that an
 // earlier leader gave long ago, after which the target runs again.
-TEST_CASE("runs on a host with a confirmed order are discarded only if the target fails to answer")
+TEST_CASE("runs on a host with a confirmed order are discarded by proof only, not by silence of the target")
 {
     scheduler_fixture f;
     const target_id a = f.add_target("a");
@@ -431,9 +431,31 @@
     f.report(a, {running(starts[0])});
     CHECK(f.plan_and_store().empty());
     f.scheduler.on_host_order_confirmed(a, f.now());
-    f.advance(5ms);
-    f.miss(a);
-    const std::vector<start_command> again = f.plan_and_store();
+    for (int i = 0; i < 3; ++i) {
+        f.advance(5ms);
+        f.miss(a);
+        CHECK(f.plan_and_store().empty());
+    }
+    std::vector<start_command> again;
+    SECTION("the platform lists the host as down")
+    {
+        f.scheduler.on_host_taken_down(a, f.now());
+        again = f.plan_and_store();
+    }
+    SECTION("the host has a new target")
+    {
+        target_info successor = f.info_of("c");
+        successor.host = f.info_of("a").host;
+        successor.incarnation = 2;
+        f.scheduler.set_target(successor, f.now());
+        again = f.plan_and_store();
+    }
+    SECTION("the lease is over")
+    {
+        f.advance(7s);
+        f.report(target_id{"b"}, {});
+        again = f.plan_and_store();
+    }
     REQUIRE(again.size() == 1);
     CHECK(again[0].target.id == target_id{"b"});
 }
