--- a/src/tools/mjm_bench/leader_load.cpp
+++ b/src/tools/mjm_bench/leader_load.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds network_delay{2};
 constexpr std::chrono::milliseconds store_delay{6};
 constexpr std::chrono::milliseconds tick_interval{20};
+// What is left of the leader's own lease, which is renewed all the time.
+constexpr std::chrono::milliseconds leader_lease{1500};
 constexpr std::int64_t target_milli_cpu = 64000;
 constexpr std::int64_t task_milli_cpu = 9000;
 constexpr int tasks_per_job = 8;
@@ -348,7 +350,7 @@
             {store, targets, directory, nullptr, later, loop.time(), logger{sink, "jobs"}, metrics},
             1,
             make_config(settings.pools),
-            [] { return true; },
+            [&loop] { return loop.time().now() + leader_lease; },
             [](const std::string&) {}};
         const timestamp end = loop.time().now() + settings.length;
         const double jobs_per_s = settings.load * settings.targets * static_cast<double>(target_milli_cpu) /
