Acknowledge ends once, and not after a lost answer

The next life counts its ends from 1 again, so it forgot ends that the leader had not read, and their runs counted as lost.

Each observation repeated the latest acknowledgement. It is now sent until an answer comes, and not at all while the target has left an observation unanswered, since it may have restarted.

--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -153,8 +153,11 @@
     t.observing = true;
     lease_request request;
     request.token = token_;
-    request.ends_acknowledged = t.unstored.empty() ? t.ends_seen : t.unstored.front().sequence - 1;
-    t.ends_acknowledged = request.ends_acknowledged;
+    const std::uint64_t stored = t.unstored.empty() ? t.ends_seen : t.unstored.front().sequence - 1;
+    // The target may have restarted unnoticed and have begun to count its ends anew. So nothing is
+    // acknowledged after an observation without an answer, nor a second time.
+    request.ends_acknowledged = stored > t.ends_acknowledged && t.missed_observations == 0 ? stored : 0;
+    t.acknowledgement_in_flight = request.ends_acknowledged;
     // The lease of a target that fails to answer is not extended, so that the time by which its runs have
     // stopped stays fixed.
     if (t.clock && !t.runs.empty() && t.missed_observations == 0 && t.reachable && !t.lease_wait_stored) {
@@ -201,6 +204,7 @@
     if (report->incarnation != t->info.incarnation)
         on_target_restart(*t, report->incarnation, time);
     resolve_lost_target(target, report->incarnation, time);
+    t->ends_acknowledged = std::max(t->ends_acknowledged, t->acknowledgement_in_flight);
     set_clock(*t, report->clock_ms, time.now);
     t->synced = true;
     t->listed_all = report->complete;
@@ -229,6 +233,7 @@
     t.clock.reset();
     t.ends_seen = 0;
     t.ends_acknowledged = 0;
+    t.acknowledgement_in_flight = 0;
     t.unstored.clear();
     resolve_lost_target(t.info.id, incarnation, time);
     std::vector<task_key> planned;
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -64,9 +64,10 @@
     timestamp lease_granted_at;
     duration lease_clock_age{0}; ///< Age of the reading of the target's clock on which that lease was based.
 
-    std::uint64_t ends_seen = 0;         ///< Sequence number of the latest end that has been handled.
-    std::uint64_t ends_acknowledged = 0; ///< Latest acknowledgement that was sent to the target.
-    std::deque<unstored_end> unstored;   ///< In the order of their sequence numbers.
+    std::uint64_t ends_seen = 0;                 ///< Sequence number of the latest end that has been handled.
+    std::uint64_t ends_acknowledged = 0;         ///< Latest acknowledgement that the target has answered.
+    std::uint64_t acknowledgement_in_flight = 0; ///< Acknowledgement in the observation in flight; 0 if none.
+    std::deque<unstored_end> unstored;           ///< In the order of their sequence numbers.
 
     bool observing = false; ///< Whether an observation is in flight.
     timestamp next_observation;
--- a/src/plugins/jobs/tests/tst_target_reports.cpp
+++ b/src/plugins/jobs/tests/tst_target_reports.cpp
@@ -243,3 +243,26 @@
     CHECK(sim.fleet.starts == 7);
     CHECK(sim.fleet.violations.empty());
 }
+
+// Guards against an acknowledgement that a target's next life, which counts its ends anew, takes for its own.
+TEST_CASE("ends are acknowledged until the target has answered, and not after a lost answer")
+{
+    scheduler_fixture f;
+    const target_id t = f.add_target("t");
+    const std::vector<start_command> starts = f.run_job("j", 2);
+    f.report(t, {running(starts[1])}, {ended(starts[0], 1, run_end::done)});
+    f.scheduler.on_stored(f.scheduler.unstored(10), f.now());
+    const auto acknowledged = [&f, &t] {
+        return f.scheduler.begin_observation(t, f.now().now).ends_acknowledged;
+    };
+    CHECK(acknowledged() == 1);
+    f.miss(t);
+    CHECK(acknowledged() == 0);
+    f.report(t, {running(starts[1])}, {ended(starts[0], 1, run_end::done)});
+    CHECK(acknowledged() == 1);
+    f.report(t, {running(starts[1])});
+    CHECK(acknowledged() == 0);
+    f.report(t, {}, {ended(starts[1], 2, run_end::done)});
+    f.scheduler.on_stored(f.scheduler.unstored(10), f.now());
+    CHECK(acknowledged() == 2);
+}
