--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -343,7 +343,10 @@
     starts_paused_ = !starts_paused_;
     services_.log.info(
         starts_paused_ ? "starts_paused" : "starts_resumed",
-        {{"targets_age_ms", to_ms(at - targets)}, {"cancellations_age_ms", to_ms(at - cancellations)}});
+        {{"targets_age_ms", to_ms(at - targets)},
+         {"targets_proved_age_ms", to_ms(at - services_.directory.proved_time())},
+         {"cancellations_age_ms", to_ms(at - cancellations)},
+         {"cancellations_proved_age_ms", to_ms(at - (inbox_ ? inbox_->proved_time() : timestamp{}))}});
 }
 
 void job_leader::observe_cancel_delay(const kv_entry& entry)
--- a/src/plugins/jobs/prefix_watch.cpp
+++ b/src/plugins/jobs/prefix_watch.cpp
@@ -1,5 +1,6 @@
 #include "jobs/prefix_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mjm {
@@ -31,6 +32,10 @@
     void end() { ended_ = true; }
     [[nodiscard]] timestamp last_answer_at() const { return last_answer_at_; }
     [[nodiscard]] timestamp view_time() const { return view_time_; }
+    [[nodiscard]] timestamp proved_time() const
+    {
+        return std::max(proved_time_, store_.complete_until(reported_revision_));
+    }
 
 private:
     void list_next()
@@ -69,6 +74,8 @@
         view_time_ = sent_at_;
         const std::vector<kv_entry> entries = std::exchange(snapshot_, {});
         handler_.on_snapshot(entries);
+        reported_revision_ = revision_;
+        proved_time_ = std::max(proved_time_, sent_at_);
         if (!ended_)
             tick();
     }
@@ -97,11 +104,18 @@
         revision_ = std::max(revision_, changes->revision);
         if (!reload_) {
             view_time_ = sent_at_;
+            if (handler_.on_answer)
+                handler_.on_answer(changes->changes.size());
             for (const store_change& it : changes->changes) {
                 if (ended_)
                     return;
                 handler_.on_change(it);
             }
+            reported_revision_ = revision_;
+            // The store answers with changes as soon as there are any, so without any none was missing.
+            proved_time_ = std::max(proved_time_, changes->changes.empty()
+                                                      ? sent_at_
+                                                      : store_.complete_until(reported_revision_));
         }
         if (!ended_)
             tick();
@@ -139,6 +153,8 @@
     timestamp last_answer_at_;
     timestamp sent_at_; ///< When the call in flight, or the listing that it continues, was sent.
     timestamp view_time_;
+    store_revision reported_revision_ = 0; ///< All changes up to this revision have been reported.
+    timestamp proved_time_;
     bool busy_ = false;
     bool reload_ = true;
     bool store_reachable_ = true;
@@ -171,6 +187,11 @@
     return impl_->view_time();
 }
 
+timestamp prefix_watch::proved_time() const
+{
+    return impl_->proved_time();
+}
+
 timestamp prefix_watch::last_answer_at() const
 {
     return impl_->last_answer_at();
--- a/src/plugins/jobs/prefix_watch.h
+++ b/src/plugins/jobs/prefix_watch.h
@@ -28,6 +28,8 @@
         std::function<void(const store_change&)> on_change;
         /// The store stopped answering, or answers again.
         std::function<void(tl::expected<void, store_errc>)> on_store_reachability;
+        /// A watch call was answered with this number of changes, before they are reported. May be null.
+        std::function<void(std::size_t)> on_answer;
     };
 
     prefix_watch(transaction_store& store, const clock& time, prefix_watch_settings settings, handler h);
@@ -44,6 +46,8 @@
     /// Returns the time whose state everything reported so far includes: when the latest answered call was
     /// sent. The epoch before the first snapshot.
     [[nodiscard]] timestamp view_time() const;
+    /// Returns the time whose state everything reported so far is proved to include.
+    [[nodiscard]] timestamp proved_time() const;
 
 private:
     class impl;
--- a/src/plugins/jobs/tests/fakes/fake_transaction_store.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_transaction_store.cpp
@@ -163,7 +163,13 @@
 void fake_store_link::list(const std::string& prefix, const std::string& after, page_callback done)
 {
     constexpr std::size_t page_size = 3; // Small, so that tests read several pages.
-    answer(std::move(done), [this, prefix, after]() -> tl::expected<store_page, store_errc> {
+    const page_callback noted = [this, done = std::move(done), sent_at = loop_.time().now()](
+                                    const tl::expected<store_page, store_errc>& page) {
+        if (page)
+            history_.add(sent_at, page->revision);
+        done(page);
+    };
+    answer(noted, [this, prefix, after]() -> tl::expected<store_page, store_errc> {
         store_page page;
         page.revision = store_.revision();
         for (const kv_entry& e : store_.list(prefix)) {
@@ -230,8 +236,12 @@
         });
         return;
     }
-    loop_.after(latency, [this, transaction, done] {
-        handle_later(answer_delay, [done, result = store_.commit(transaction)] { done(result); });
+    loop_.after(latency, [this, transaction, done, sent_at = loop_.time().now()] {
+        handle_later(answer_delay, [this, sent_at, done, result = store_.commit(transaction)] {
+            if (result)
+                history_.add(sent_at, *result);
+            done(result);
+        });
     });
 }
 
--- a/src/plugins/jobs/tests/fakes/fake_transaction_store.h
+++ b/src/plugins/jobs/tests/fakes/fake_transaction_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/revision_history.h"
 #include "jobs/transaction_store.h"
 #include "virtual_loop.h"
 
@@ -78,6 +79,10 @@
     void grant_lease(duration ttl, lease_callback done) override;
     void renew_lease(store_lease_id lease, done_callback done) override;
     void end_lease(store_lease_id lease, done_callback done) override;
+    [[nodiscard]] timestamp complete_until(store_revision revision) const override
+    {
+        return history_.complete_until(revision);
+    }
 
 private:
     template <typename Callback, typename Effect>
@@ -88,6 +93,7 @@
 
     virtual_loop& loop_;
     fake_transaction_store& store_;
+    revision_history history_;
 };
 
 } // namespace mjm
--- a/src/plugins/jobs/transaction_store.h
+++ b/src/plugins/jobs/transaction_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/time_types.h"
 #include "platform/kv_store.h"
 
 #include <tl/expected.hpp>
@@ -78,6 +79,9 @@
     virtual void renew_lease(store_lease_id lease, done_callback done) = 0;
     /// Ends the lease and removes its entries.
     virtual void end_lease(store_lease_id lease, done_callback done) = 0;
+    /// Returns a time before which all changes of the store have `revision` or an earlier one, as far as the
+    /// answers to earlier calls show; the epoch if they don't show any.
+    [[nodiscard]] virtual timestamp complete_until(store_revision revision) const = 0;
 };
 
 } // namespace mjm
--- a/src/tools/mjm_bench/leader_load.cpp
+++ b/src/tools/mjm_bench/leader_load.cpp
@@ -3,6 +3,7 @@
 #include "core/executor.h"
 #include "jobs/job_codec.h"
 #include "jobs/job_keys.h"
+#include "jobs/revision_history.h"
 
 #include <ctime>
 #include <deque>
@@ -100,7 +101,10 @@
     }
     void list(const std::string& /*prefix*/, const std::string& /*after*/, page_callback done) override
     {
-        answer([this, done] { done(store_page{{}, false, revision_}); });
+        answer([this, done, sent_at = loop_.time().now()] {
+            history_.add(sent_at, revision_);
+            done(store_page{{}, false, revision_});
+        });
     }
     void watch(const std::string& prefix, store_revision after, duration wait, watch_callback done) override
     {
@@ -108,7 +112,10 @@
     }
     void commit(store_transaction /*transaction*/, commit_callback done) override
     {
-        answer([this, done] { done(++revision_); });
+        answer([this, done, sent_at = loop_.time().now()] {
+            history_.add(sent_at, ++revision_);
+            done(revision_);
+        });
     }
     void grant_lease(duration /*ttl*/, lease_callback done) override
     {
@@ -122,6 +129,10 @@
     {
         answer([done] { done({}); });
     }
+    [[nodiscard]] timestamp complete_until(store_revision revision) const override
+    {
+        return history_.complete_until(revision);
+    }
 
 private:
     void answer(std::function<void()> event)
@@ -148,6 +159,7 @@
     simulation_loop& loop_;
     std::deque<store_change> inbox_;
     store_revision revision_ = 1;
+    revision_history history_;
 };
 
 /// Targets that run each task for its time and report ends to a waiting observation.
@@ -254,6 +266,7 @@
     void close() override { handler_ = {}; }
     void tick() override {}
     [[nodiscard]] timestamp view_time() const override { return loop_.time().now(); }
+    [[nodiscard]] timestamp proved_time() const override { return view_time(); }
 
 private:
     void beat(std::size_t n, duration delay)
