Add failing tests for views that count as newer than the changes that they lack

The fake store answered a watch with all changes, and the simulated service discovery was always of now, so no leader of a test could fall behind. The fake store now cuts answers (after 500 changes; after 4 in the random runs), and a simulated fleet can keep its registrations, with heartbeats, in the store.

--- a/src/plugins/jobs/target_orders.h
+++ b/src/plugins/jobs/target_orders.h
@@ -27,6 +27,8 @@
     rack_id rack;                    ///< Empty if unknown.
     target_incarnation incarnation = 0;
     std::string host; ///< Host on which the target's process runs; empty if unknown.
+
+    friend bool operator==(const target_info&, const target_info&) = default;
 };
 
 /// Identifies a target and the endpoint to which its orders are sent.
--- a/src/plugins/jobs/tests/fakes/fake_transaction_store.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_transaction_store.cpp
@@ -75,13 +75,22 @@
     return out;
 }
 
-store_changes fake_transaction_store::changes(const std::string& prefix, store_revision after) const
+store_changes fake_transaction_store::changes(const std::string& prefix, store_revision after,
+                                              std::size_t most) const
 {
     store_changes out;
     out.revision = revision_;
-    for (const store_change& change : history_) {
-        if (change.entry.revision > after && change.entry.key.starts_with(prefix))
-            out.changes.push_back(change);
+    auto it = std::upper_bound(
+        history_.begin(), history_.end(), after,
+        [](store_revision r, const store_change& change) { return r < change.entry.revision; });
+    for (; it != history_.end(); ++it) {
+        if (!it->entry.key.starts_with(prefix))
+            continue;
+        if (out.changes.size() >= most && it->entry.revision != out.changes.back().entry.revision) {
+            out.revision = out.changes.back().entry.revision;
+            break;
+        }
+        out.changes.push_back(*it);
     }
     return out;
 }
@@ -208,7 +217,7 @@
             poll(prefix, after, until, done);
             return;
         }
-        store_changes changes = store_.changes(prefix, after);
+        store_changes changes = store_.changes(prefix, after, most_changes);
         if (!changes.changes.empty() || loop_.time().now() >= until)
             handle_later(watch_delay, [done, changes = std::move(changes)] { done(changes); });
         else
--- a/src/plugins/jobs/tests/fakes/fake_transaction_store.h
+++ b/src/plugins/jobs/tests/fakes/fake_transaction_store.h
@@ -30,7 +30,10 @@
     /// Returns nullptr if the key does not exist.
     [[nodiscard]] const record* find(const std::string& key);
     [[nodiscard]] std::vector<kv_entry> list(const std::string& prefix);
-    [[nodiscard]] store_changes changes(const std::string& prefix, store_revision after) const;
+    /// Returns the changes after a revision. If there are more than `most`, returns the first ones, and as
+    /// the revision that of the last one returned. Changes of one transaction stay together.
+    [[nodiscard]] store_changes changes(const std::string& prefix, store_revision after,
+                                        std::size_t most) const;
     [[nodiscard]] store_lease_id grant(duration ttl);
     [[nodiscard]] bool renew(store_lease_id id);
     void end(store_lease_id id);
@@ -70,6 +73,7 @@
     std::size_t commits = 0;                   ///< Number of calls to `commit`.
     duration answer_delay{0};                  ///< Time for which the host leaves answers unhandled.
     duration watch_delay{0};                   ///< The same for the changes that a watch has read.
+    std::size_t most_changes = 500; ///< Number of changes that a watch answers with at most.
     timestamp late_until; ///< When the last answer that is left unhandled so far will be handled.
 
     void get(const std::string& key, get_callback done) override;
--- a/src/plugins/jobs/tests/fleet_simulation.cpp
+++ b/src/plugins/jobs/tests/fleet_simulation.cpp
@@ -48,6 +48,11 @@
     directory_.delay = answers;
 }
 
+void entry_host::read_registrations(const fake_registrations& registrations)
+{
+    store_directory_ = std::make_unique<fake_store_directory>(link, loop_.time(), registrations);
+}
+
 bool entry_host::is_late() const
 {
     return link.watch_delay > duration{0} || loop_.time().now() < link.late_until;
@@ -63,14 +68,17 @@
 {
     job_node_settings settings;
     settings.peer_address = name_;
-    node = std::make_unique<job_node>(settings, job_node_services{link, orders_, directory_, &operations_,
+    target_directory& directory =
+        store_directory_ ? static_cast<target_directory&>(*store_directory_) : directory_;
+    node = std::make_unique<job_node>(settings, job_node_services{link, orders_, directory, &operations_,
                                                                   leader_, loop_, loop_.time(), random_,
                                                                   logger{sink_, name_}, metrics_});
     node->set_config(std::move(config));
     node->set_waves(waves);
 }
 
-fleet_simulation::fleet_simulation(std::uint64_t seed, int standby_hosts) : random{seed}, fleet{loop, random}
+fleet_simulation::fleet_simulation(std::uint64_t seed, int standby_hosts, discovery kind)
+    : random{seed}, fleet{loop, random}, discovery_{kind}
 {
     std::shared_ptr<fleet_config> c = std::make_shared<fleet_config>();
     queue_config q;
@@ -100,6 +108,8 @@
     for (std::uint64_t i = 0; i < 3; ++i) {
         hosts.push_back(
             std::make_unique<entry_host>(loop, store, fleet, "e" + std::to_string(i), seed * 10 + i));
+        if (discovery_ == discovery::in_store)
+            hosts.back()->read_registrations(registrations);
         hosts.back()->start(config, waves);
     }
 }
@@ -108,6 +118,8 @@
 {
     loop.run_for(d, [this] {
         fleet.step();
+        if (discovery_ == discovery::in_store)
+            registrations.step();
         for (const std::unique_ptr<entry_host>& h : hosts)
             h->note_faults();
         note_leader_faults();
--- a/src/plugins/jobs/tests/fleet_simulation.h
+++ b/src/plugins/jobs/tests/fleet_simulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/random_source.h"
+#include "fake_registrations.h"
 #include "fake_targets.h"
 #include "fake_transaction_store.h"
 #include "jobs/job_node.h"
@@ -24,6 +25,8 @@
     void start(std::shared_ptr<const fleet_config> config,
                const std::map<std::string, maintenance_wave>& waves);
     void kill();
+    /// Makes the host read the targets from the store. Must precede `start`.
+    void read_registrations(const fake_registrations& registrations);
     /// Leaves all answers, or the changes that a watch has read, unhandled for some time.
     void set_delays(duration answers, duration watches);
     /// Whether the host handles answers or changes late.
@@ -44,6 +47,7 @@
     virtual_loop& loop_;
     fake_fleet_orders orders_;
     fake_directory directory_;
+    std::unique_ptr<fake_store_directory> store_directory_; ///< Null if `directory_` is used.
     fake_host_operations operations_;
     no_leader leader_;
     seeded_random random_;
@@ -57,10 +61,17 @@
     std::unique_ptr<job_node> node;
 };
 
+/// How the entry hosts of a simulation learn of targets.
+enum class discovery {
+    immediate, ///< From the fleet itself, at any time.
+    in_store,  ///< From registrations that the store has.
+};
+
 /// Three entry hosts, six hosts with targets and a store, in one thread and virtual time.
 class fleet_simulation {
 public:
-    explicit fleet_simulation(std::uint64_t seed, int standby_hosts = 0);
+    explicit fleet_simulation(std::uint64_t seed, int standby_hosts = 0,
+                              discovery kind = discovery::immediate);
 
     void run_for(duration d);
     /// Asks for the states of all accepted jobs, as callers may do at any time.
@@ -85,6 +96,7 @@
     seeded_random random;
     fake_transaction_store store{loop};
     fake_fleet fleet;
+    fake_registrations registrations{loop, store, fleet}; ///< Used with `discovery::in_store`.
     std::shared_ptr<const fleet_config> config;
     std::map<std::string, maintenance_wave> waves;
     std::vector<std::unique_ptr<entry_host>> hosts;
@@ -94,6 +106,7 @@
 private:
     void note_leader_faults();
 
+    const discovery discovery_;
     entry_host* last_leader_ = nullptr;
 };
 
--- a/src/plugins/jobs/tests/tst_job_faults.cpp
+++ b/src/plugins/jobs/tests/tst_job_faults.cpp
@@ -40,6 +40,8 @@
             for (int i = 3; i < 6; ++i)
                 sim_.fleet.set_guard("h" + std::to_string(i), true);
         }
+        for (const std::unique_ptr<entry_host>& h : sim_.hosts)
+            h->link.most_changes = 4;
         sim_.fleet.run_time = [this](const task_key& key) { return run_time(key); };
         sim_.fleet.outcome = [this](const task_key& key) { return outcome(key); };
     }
--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -286,6 +286,8 @@
     for (std::uint64_t seed = first_seed; seed < first_seed + seeds; ++seed) {
         CAPTURE(seed);
         fleet_simulation f{seed, 3};
+        for (const std::unique_ptr<entry_host>& h : f.hosts)
+            h->link.most_changes = 4;
         f.fleet.late_orders = 0.02;
         f.fleet.lost_answers = 0.03;
         f.run_for(1s);
--- /dev/null
+++ b/src/plugins/jobs/tests/tst_prefix_watch.cpp
@@ -0,0 +1,169 @@
+#include "core/random_source.h"
+#include "fake_transaction_store.h"
+#include "fleet_simulation.h"
+#include "jobs/prefix_watch.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+using namespace mjm;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A watch of entries that change all the time beside other calls to the store, and a record of when each
+/// change was made.
+class watched_entries {
+public:
+    explicit watched_entries(std::uint64_t seed) : random{seed}, link{loop, store}
+    {
+        prefix_watch::handler h;
+        h.on_snapshot = [this](const std::vector<kv_entry>& entries) {
+            for (const kv_entry& e : entries)
+                reported_[e.key] = e.revision;
+        };
+        h.on_change = [this](const store_change& change) {
+            reported_[change.entry.key] = change.entry.revision;
+        };
+        watch = std::make_unique<prefix_watch>(link, loop.time(), prefix_watch_settings{"p/", 300ms}, h);
+    }
+
+    /// Changes `per_step` of the entries every 20 ms, and checks the view at each step.
+    void run_for(duration d, std::size_t per_step)
+    {
+        loop.run_for(d, [&] {
+            if (loop.time().now() >= next_change_) {
+                next_change_ = loop.time().now() + 20ms;
+                for (std::size_t i = 0; i < per_step; ++i)
+                    change("p/" + std::to_string(random.below(540)));
+            }
+            if (loop.time().now() >= next_other_call_) {
+                next_other_call_ = loop.time().now() + 250ms;
+                link.list("other/", {}, [](const tl::expected<store_page, store_errc>&) {});
+            }
+            watch->tick();
+            check();
+        });
+    }
+    void change(const std::string& key)
+    {
+        store.put(key, "value");
+        changes_.push_back({loop.time().now(), key, store.revision()});
+    }
+    [[nodiscard]] duration view_age() const { return loop.time().now() - watch->view_time(); }
+
+    virtual_loop loop;
+    seeded_random random;
+    fake_transaction_store store{loop};
+    fake_store_link link;
+    std::unique_ptr<prefix_watch> watch;
+
+private:
+    struct made_change {
+        timestamp at;
+        std::string key;
+        store_revision revision = 0;
+    };
+
+    void check()
+    {
+        const timestamp known = watch->view_time();
+        for (; checked_ < changes_.size() && changes_[checked_].at < known; ++checked_) {
+            const made_change& c = changes_[checked_];
+            CAPTURE(c.key, to_ms(known - c.at), to_ms(view_age()));
+            const auto reported = reported_.find(c.key);
+            REQUIRE(reported != reported_.end());
+            REQUIRE(reported->second >= c.revision);
+        }
+    }
+
+    std::vector<made_change> changes_;
+    std::size_t checked_ = 0;
+    std::map<std::string, store_revision> reported_;
+    timestamp next_change_;
+    timestamp next_other_call_;
+};
+
+} // namespace
+
+// Guards against orders that rest on a view that lacks changes from before the time that it is told to have.
+TEST_CASE("a watch whose answers are cut does not count its view as newer than the changes that it lacks",
+          "[.known-red]")
+{
+    watched_entries f{1};
+    f.link.most_changes = 500;
+    f.run_for(2s, 7);
+    CHECK(f.view_age() < 1s);
+    f.link.watch_delay = 1600ms; // At 350 changes per second, more than one answer holds.
+    f.run_for(20s, 7);
+    f.link.watch_delay = 0ms;
+    f.run_for(5s, 7);
+    CHECK(f.view_age() < 1s);
+}
+
+TEST_CASE("random cuts, delays and losses of the history do not make a view count as newer than it is",
+          "[.known-red]")
+{
+    const std::uint64_t first_seed = environment_number("MJM_FIRST_SEED", 1);
+    const std::uint64_t seeds = environment_number("MJM_SEEDS", 30);
+    for (std::uint64_t seed = first_seed; seed < first_seed + seeds; ++seed) {
+        CAPTURE(seed);
+        watched_entries f{seed};
+        for (int round = 0; round < 20; ++round) {
+            f.link.most_changes = 1 + f.random.below(60);
+            f.link.answer_delay = std::chrono::milliseconds{f.random.chance(0.5) ? f.random.below(800) : 0};
+            f.link.watch_delay = std::max<duration>(f.link.answer_delay,
+                                                   std::chrono::milliseconds{f.random.below(1500)});
+            f.link.reachable = !f.random.chance(0.1);
+            if (f.random.chance(0.2))
+                f.store.forget_history();
+            if (f.random.chance(0.2))
+                f.watch->reload();
+            f.run_for(500ms, f.random.below(4));
+        }
+        f.link.reachable = true;
+        f.link.answer_delay = f.link.watch_delay = 0ms;
+        f.link.most_changes = 500;
+        f.run_for(20s, 1);
+        CHECK(f.view_age() < 1s);
+    }
+}
+
+// Guards against starts on targets that have said that they leave (rule DRAIN).
+TEST_CASE("a leader that falls behind the store's changes starts no run on a draining target", "[.known-red]")
+{
+    fleet_simulation sim{51, 0, discovery::in_store};
+    sim.registrations.other_targets = 300;
+    for (const std::unique_ptr<entry_host>& h : sim.hosts)
+        h->link.most_changes = 100;
+    sim.run_for(5s);
+    entry_host* leader = sim.leader();
+    REQUIRE(leader != nullptr);
+    int jobs = 0;
+    const auto run_with_jobs = [&](int rounds) {
+        for (int i = 0; i < rounds; ++i) {
+            sim.submit("j" + std::to_string(jobs++), 3);
+            sim.run_for(250ms);
+        }
+    };
+    run_with_jobs(8);
+    CHECK(sim.fleet.starts > 0);
+    leader->set_delays({}, 700ms); // At 200 changes per second, more than one answer holds.
+    run_with_jobs(24);
+    for (const char* host : {"h0", "h3"})
+        sim.fleet.drain(host, 15s, restart_kind::new_address);
+    run_with_jobs(40);
+    for (const std::string& violation : sim.fleet.violations)
+        UNSCOPED_INFO(violation);
+    CHECK(sim.fleet.violations.empty());
+
+    leader->set_delays({}, {});
+    sim.run_for(40s);
+    for (const std::string& id : sim.accepted) {
+        CAPTURE(id);
+        CHECK(sim.completed(id));
+    }
+    CHECK(sim.fleet.violations.empty());
+}
