Drop the page of a listing that was given up

Only leadership reloads in that way today, and its listing has one page, so nothing has shown it; found while looking for the cause of DRAIN elsewhere. The new case reports 10 entries; on the code before it reports fewer.

--- a/src/plugins/jobs/prefix_watch.cpp
+++ b/src/plugins/jobs/prefix_watch.cpp
@@ -1,6 +1,7 @@
 #include "jobs/prefix_watch.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace mjm {
@@ -26,6 +27,7 @@
     {
         reload_ = true;
         snapshot_.clear();
+        ++listing_;
         after_.clear();
     }
 
@@ -44,9 +46,13 @@
         if (after_.empty())
             sent_at_ = time_.now();
         store_.list(settings_.prefix, after_,
-                    [self = shared_from_this()](const tl::expected<store_page, store_errc>& page) {
+                    [self = shared_from_this(),
+                     listing = listing_](const tl::expected<store_page, store_errc>& page) {
                         self->busy_ = false;
-                        if (!self->ended_)
+                        if (self->ended_)
+                            return;
+                        // A page of a listing that was given up is none of the one that replaces it.
+                        if (listing == self->listing_)
                             self->on_page(page);
                     });
     }
@@ -153,6 +159,7 @@
     bool reload_ = true;
     bool store_reachable_ = true;
     bool ended_ = false;
+    std::uint64_t listing_ = 0;            ///< Number of the present listing of all entries.
 };
 
 prefix_watch::prefix_watch(transaction_store& store, const clock& time, prefix_watch_settings settings,
--- a/src/plugins/jobs/tests/tst_prefix_watch.cpp
+++ b/src/plugins/jobs/tests/tst_prefix_watch.cpp
@@ -131,6 +131,24 @@
     }
 }
 
+TEST_CASE("a reload within a listing does not report entries without those of the first pages")
+{
+    virtual_loop loop;
+    fake_transaction_store store{loop};
+    fake_store_link link{loop, store};
+    for (char c = 'a'; c < 'k'; ++c)
+        store.put(std::string{"p/"} + c, "1");
+    std::vector<std::size_t> sizes;
+    prefix_watch::handler h;
+    h.on_snapshot = [&](const std::vector<kv_entry>& entries) { sizes.push_back(entries.size()); };
+    prefix_watch watch{link, loop.time(), {"p/"}, h};
+    watch.tick();
+    loop.run_for(6ms); // The second page is on its way.
+    watch.reload();
+    loop.run_for(100ms, [&] { watch.tick(); });
+    CHECK(sizes == std::vector<std::size_t>{10});
+}
+
 TEST_CASE("a history of revisions tells until when the changes up to a revision are complete")
 {
     const timestamp start{1h};
