Read the store's answers in larger pieces, so that large ones arrive on a slow host

Cause of falling behind: beast reads as many bytes at a time as its buffer has room for, and the buffer of a connection was empty, so each answer was read 512 bytes at a time. After each piece the I/O thread serves what else is ready. On a leader of 540 targets with little processor time an answer of 500 registrations (about 220 KB, 430 pieces) took longer than the 0.9 s for which a watch is waited for. The call failed, its repetition had as many changes again, and so on: the leader heard of registrations once in 3 to 4 s, 500 changes at a time, of 360 that were made each second.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -256,6 +256,7 @@
     {
         parser_.emplace();
         parser_->header_limit(max_response_header);
+        buffer_.reserve(client_->settings_.read_size);
         parser_->body_limit(client_->settings_.max_response);
         if (call_->method == "HEAD")
             parser_->skip(true);
