Handle the store's answers before the reports of targets

An answer of the store waited behind all reports that were queued on the decision thread, up to 144 of them on a slow leader, each of which costs several times as much. What the store tells decides whether anything may be ordered, and a renewal of the leader's lease counts from when it was sent. The executor has a second queue for such replies, which are few: it is looked at after each ordinary one, and urgent ones that are posted by urgent ones can't starve the others.

--- a/src/libs/kernel/ring_executor.cpp
+++ b/src/libs/kernel/ring_executor.cpp
@@ -6,14 +6,25 @@
 namespace mjm {
 
 void ring_executor::post(work reply)
+{
+    post_to(replies_, std::move(reply));
+}
+
+void ring_executor::post_to(std::deque<work>& queue, work reply)
 {
     {
         const std::lock_guard lock{replies_mutex_};
-        replies_.push_back(std::move(reply));
+        queue.push_back(std::move(reply));
     }
     requests_.wake();
 }
 
+std::deque<ring_executor::work> ring_executor::take(std::deque<work>& queue)
+{
+    const std::lock_guard lock{replies_mutex_};
+    return std::exchange(queue, {});
+}
+
 bool ring_executor::try_post(work& request)
 {
     return requests_.try_push(request);
@@ -49,16 +60,22 @@
 std::size_t ring_executor::waiting_replies() const
 {
     const std::lock_guard lock{replies_mutex_};
-    return replies_.size();
+    return replies_.size() + urgent_replies_.size();
 }
 
 std::size_t ring_executor::run_replies()
 {
-    std::deque<work> batch;
-    {
-        const std::lock_guard lock{replies_mutex_};
-        batch.swap(replies_);
+    std::size_t n = run_urgent_replies();
+    for (const work& reply : take(replies_)) {
+        reply();
+        n += 1 + run_urgent_replies();
     }
+    return n;
+}
+
+std::size_t ring_executor::run_urgent_replies()
+{
+    const std::deque<work> batch = take(urgent_replies_);
     for (const work& reply : batch)
         reply();
     return batch.size();
--- a/src/libs/kernel/ring_executor.h
+++ b/src/libs/kernel/ring_executor.h
@@ -8,12 +8,13 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <utility>
 
 namespace mjm {
 
 /// Executor with one queue for new requests, which is bounded and refuses when full, and one for replies to
 /// calls that the component made itself, which never refuses: its size is bounded by the calls outstanding.
-/// Replies run first. Posting is thread-safe; one thread consumes.
+/// Replies run first, and urgent ones before all others. Posting is thread-safe; one thread consumes.
 class ring_executor final : public executor {
 public:
     using work = std::function<void()>;
@@ -22,6 +23,9 @@
 
     /// Queues a reply. Never refused; after `close` it stays queued and runs only if the consumer drains.
     void post(work reply) override;
+    /// Returns an executor for replies that must not wait behind a long queue of others. They are to be few,
+    /// since one that is posted by another urgent one runs after the next ordinary reply at the earliest.
+    [[nodiscard]] executor& urgent() { return urgent_; }
     /// Queues a new request. Returns false, and leaves `request` untouched, when the ring is full or closed.
     [[nodiscard]] bool try_post(work& request);
 
@@ -38,11 +42,26 @@
     [[nodiscard]] std::size_t waiting_replies() const;
 
 private:
+    class urgent_executor final : public executor {
+    public:
+        explicit urgent_executor(ring_executor& ring) : ring_{ring} {}
+        void post(work reply) override { ring_.post_to(ring_.urgent_replies_, std::move(reply)); }
+
+    private:
+        ring_executor& ring_;
+    };
+
+    void post_to(std::deque<work>& queue, work reply);
+    [[nodiscard]] std::deque<work> take(std::deque<work>& queue);
     std::size_t run_replies();
+    /// Runs the urgent replies that are queued when it is called.
+    std::size_t run_urgent_replies();
 
     bounded_ring<work> requests_;
     mutable std::mutex replies_mutex_;
     std::deque<work> replies_;
+    std::deque<work> urgent_replies_;
+    urgent_executor urgent_{*this};
 };
 
 } // namespace mjm
--- a/src/libs/kernel/tests/tst_duty_thread.cpp
+++ b/src/libs/kernel/tests/tst_duty_thread.cpp
@@ -44,6 +44,39 @@
     CHECK(ran == std::vector<int>{1, 2});
 }
 
+// Guards against knowledge of the store that waits behind the reports of hundreds of targets.
+TEST_CASE("an urgent reply does not wait for the other replies that are queued")
+{
+    ring_executor executor{1};
+    std::vector<int> ran;
+    for (int n = 10; n < 13; ++n)
+        executor.post([&ran, &executor, n] {
+            ran.push_back(n);
+            if (n == 11)
+                executor.urgent().post([&ran] { ran.push_back(2); });
+        });
+    executor.urgent().post([&ran] { ran.push_back(1); });
+    CHECK(executor.waiting_replies() == 4);
+    CHECK(executor.run_pending() == 5);
+    CHECK(ran == std::vector<int>{1, 10, 11, 2, 12});
+}
+
+TEST_CASE("urgent replies that keep coming starve neither other replies nor requests")
+{
+    ring_executor executor{1};
+    int others = 0;
+    std::function<void()> again = [&] {
+        if (others < 2)
+            executor.urgent().post(again);
+    };
+    executor.urgent().post(again);
+    executor.post([&others] { ++others; });
+    ring_executor::work request = [&others] { ++others; };
+    REQUIRE(executor.try_post(request));
+    executor.run_pending();
+    CHECK(others == 2);
+}
+
 TEST_CASE("replies that keep coming do not starve a request")
 {
     ring_executor executor{1};
