--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -91,8 +91,8 @@
     target_directory::handler h;
     h.on_snapshot = [this](const std::vector<target_info>& targets) { on_targets(targets); };
     h.on_target = [this](const target_info& info) {
-        scheduler_.set_target(info, now());
-        request_pass();
+        if (scheduler_.set_target(info, now()))
+            request_pass();
     };
     h.on_removed = [this](const target_id& id) { scheduler_.unlist_target(id, now()); };
     services_.directory.open(std::move(h));
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -21,6 +21,14 @@
            std::to_string(to_ms(t.lease_clock_age)) + " ms earlier";
 }
 
+/// Whether two entries of a target differ at most in its incarnation.
+bool same_registration(const target_info& a, const target_info& b)
+{
+    return a.state == b.state && a.service == b.service && a.capacity == b.capacity &&
+           a.endpoint == b.endpoint && a.host == b.host && a.zone == b.zone && a.rack == b.rack &&
+           a.labels == b.labels;
+}
+
 } // namespace
 
 job_scheduler::job_scheduler(scheduler_settings settings, fencing_token token, scheduler_time time,
@@ -167,14 +175,13 @@
     plan_all_services();
 }
 
-void job_scheduler::set_target(const target_info& info, scheduler_time time)
+bool job_scheduler::set_target(const target_info& info, scheduler_time time)
 {
-    const bool added = !targets_.contains(info.id);
-    target_status& t = targets_[info.id];
-    // Most entries are heartbeats, which change nothing that planning depends on.
-    const bool unchanged = !added && t.listed && t.info.state == info.state &&
-                           t.info.service == info.service && t.info.capacity == info.capacity &&
-                           t.registered_incarnation == info.incarnation;
+    const auto [it, added] = targets_.try_emplace(info.id);
+    target_status& t = it->second;
+    // Most entries are heartbeats, which change nothing.
+    if (!added && t.listed && t.registered_incarnation == info.incarnation && same_registration(t.info, info))
+        return false;
     if (added) {
         t.lease_until = leases_.earlier_leases_over_at(info.id);
         t.lease_wait_stored = stored_waits_.contains(info.id);
@@ -208,8 +215,8 @@
     t.listed = true;
     t.cordoned = cordons_.contains(info.host);
     t.maintained_soon = maintained_soon_.contains(info.host);
-    if (!unchanged)
-        plan_needed_.insert(info.service);
+    plan_needed_.insert(info.service);
+    return true;
 }
 
 void job_scheduler::set_service_of_target(target_status& t, const service_id& service)
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -157,8 +157,8 @@
 
     // Configuration and targets.
     void set_config(std::shared_ptr<const fleet_config> config);
-    /// Adds a target or updates its entry of service discovery.
-    void set_target(const target_info& info, scheduler_time time);
+    /// Adds a target or updates its entry of service discovery. Returns whether anything has changed.
+    bool set_target(const target_info& info, scheduler_time time);
     /// Handles that service discovery no longer has an entry for the target.
     void unlist_target(const target_id& id, scheduler_time time);
     /// Sets the times whose targets and cancellations this scheduler knows. A scheduler that falls behind
--- a/src/plugins/jobs/prefix_watch.cpp
+++ b/src/plugins/jobs/prefix_watch.cpp
@@ -15,22 +15,24 @@
 
     void tick()
     {
-        if (busy_ || ended_ || time_.now() < not_before_)
+        const timestamp now = time_.now();
+        if (busy_ || ended_ || now < not_before_)
             return;
         if (reload_)
             list_next();
-        else
+        else if (now >= sent_at_ + settings_.min_interval)
             watch_next();
     }
 
     void reload()
     {
         reload_ = true;
-        snapshot_.clear();
         ++listing_;
+        snapshot_.clear();
         after_.clear();
     }
 
+    void set_wait(duration wait) { settings_.wait = wait; }
     void end() { ended_ = true; }
     [[nodiscard]] timestamp last_answer_at() const { return last_answer_at_; }
     [[nodiscard]] timestamp view_time() const
@@ -54,6 +56,8 @@
                         // A page of a listing that was given up is none of the one that replaces it.
                         if (listing == self->listing_)
                             self->on_page(page);
+                        else
+                            self->tick();
                     });
     }
 
@@ -145,7 +149,7 @@
 
     transaction_store& store_;
     const clock& time_;
-    const prefix_watch_settings settings_;
+    prefix_watch_settings settings_;
     const handler handler_;
     std::vector<kv_entry> snapshot_;
     std::string after_;
@@ -155,11 +159,11 @@
     timestamp sent_at_; ///< When the call in flight, or the listing that it continues, was sent.
     store_revision reported_revision_ = 0; ///< All changes up to this revision have been reported.
     timestamp view_time_;                  ///< As proved when the latest answer was reported.
+    std::uint64_t listing_ = 0;            ///< Number of the present listing of all entries.
     bool busy_ = false;
     bool reload_ = true;
     bool store_reachable_ = true;
     bool ended_ = false;
-    std::uint64_t listing_ = 0;            ///< Number of the present listing of all entries.
 };
 
 prefix_watch::prefix_watch(transaction_store& store, const clock& time, prefix_watch_settings settings,
@@ -178,6 +182,11 @@
     impl_->tick();
 }
 
+void prefix_watch::set_wait(duration wait)
+{
+    impl_->set_wait(wait);
+}
+
 void prefix_watch::reload()
 {
     impl_->reload();
--- a/src/plugins/jobs/prefix_watch.h
+++ b/src/plugins/jobs/prefix_watch.h
@@ -16,6 +16,8 @@
     /// when the call does not end in time.
     duration wait{std::chrono::milliseconds{1000}};
     duration retry{std::chrono::milliseconds{200}}; ///< Delay before a failed call is repeated.
+    /// Shortest time between the sending of two watch calls, so that one answer has the changes of some time.
+    duration min_interval{0};
 };
 
 /// Follows all entries below a prefix of the store: reports a snapshot first, then each change. If the store
@@ -39,6 +41,8 @@
 
     /// Starts the next call to the store if it is due. The owner calls this regularly.
     void tick();
+    /// Sets `prefix_watch_settings::wait` for the calls from now on.
+    void set_wait(duration wait);
     /// Reads a new snapshot as soon as possible.
     void reload();
     /// Returns when the store last answered.
--- a/src/plugins/jobs/tests/fakes/fake_transaction_store.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_transaction_store.cpp
@@ -197,6 +197,7 @@
 void fake_store_link::watch(const std::string& prefix, store_revision after, duration wait,
                             watch_callback done)
 {
+    ++watches;
     if (!reachable) {
         loop_.after(wait + call_timeout, [done] { done(tl::unexpected{store_errc::timed_out}); });
         return;
--- a/src/plugins/jobs/tests/fakes/fake_transaction_store.h
+++ b/src/plugins/jobs/tests/fakes/fake_transaction_store.h
@@ -71,6 +71,7 @@
     std::size_t late_commits = 0; ///< Number of next transactions that take effect late, without an answer.
     duration late_by{std::chrono::seconds{3}}; ///< Delay of the late transactions.
     std::size_t commits = 0;                   ///< Number of calls to `commit`.
+    std::size_t watches = 0;                   ///< Number of calls to `watch`.
     duration answer_delay{0};                  ///< Time for which the host leaves answers unhandled.
     duration watch_delay{0};                   ///< The same for the changes that a watch has read.
     std::size_t most_changes = 500; ///< Number of changes that a watch answers with at most.
--- a/src/plugins/jobs/tests/tst_prefix_watch.cpp
+++ b/src/plugins/jobs/tests/tst_prefix_watch.cpp
@@ -114,8 +114,8 @@
         for (int round = 0; round < 20; ++round) {
             f.link.most_changes = 1 + f.random.below(60);
             f.link.answer_delay = std::chrono::milliseconds{f.random.chance(0.5) ? f.random.below(800) : 0};
-            f.link.watch_delay = std::max<duration>(f.link.answer_delay,
-                                                   std::chrono::milliseconds{f.random.below(1500)});
+            f.link.watch_delay =
+                std::max<duration>(f.link.answer_delay, std::chrono::milliseconds{f.random.below(1500)});
             f.link.reachable = !f.random.chance(0.1);
             if (f.random.chance(0.2))
                 f.store.forget_history();
@@ -149,6 +149,29 @@
     CHECK(sizes == std::vector<std::size_t>{10});
 }
 
+// Guards against a leader that spends its processor time on answers with a heartbeat or two.
+TEST_CASE("a watch with a shortest interval reads frequent changes together")
+{
+    virtual_loop loop;
+    fake_transaction_store store{loop};
+    fake_store_link link{loop, store};
+    link.most_changes = 500;
+    std::size_t changes = 0;
+    prefix_watch::handler h;
+    h.on_snapshot = [](const std::vector<kv_entry>&) {};
+    h.on_change = [&](const store_change&) { ++changes; };
+    prefix_watch_settings settings{"p/", 300ms};
+    settings.min_interval = 100ms;
+    prefix_watch watch{link, loop.time(), settings, h};
+    int n = 0;
+    loop.run_for(2s, [&] {
+        store.put("p/" + std::to_string(n++ % 50), "1");
+        watch.tick();
+    });
+    CHECK(link.watches <= 21);
+    CHECK(changes > static_cast<std::size_t>(n) - 20);
+}
+
 TEST_CASE("a history of revisions tells until when the changes up to a revision are complete")
 {
     const timestamp start{1h};
