Store the progress of jobs in the order of their changes

Cause: a transaction holds 27 jobs, and the first ones by name were taken each time. With more jobs that change all the time than a transaction holds, the others were never stored, and a run starts only once it is stored.

Change: jobs are written in the order in which they changed, and one that changes again queues at the end.

--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -135,7 +135,7 @@
     std::erase(changed_jobs_, open);
     queues_[open->service].jobs.erase(id);
     jobs_with_runs_.erase(id);
-    dirty_.erase(id);
+    unstored_.remove(id);
     jobs_.erase(id);
 }
 
@@ -149,7 +149,7 @@
 {
     std::vector<job_id> out;
     for (const auto& [id, open] : jobs_) {
-        if (is_final(open.state->state()) && !dirty_.contains(id) && !jobs_with_runs_.contains(id))
+        if (is_final(open.state->state()) && !unstored_.contains(id) && !jobs_with_runs_.contains(id))
             out.push_back(id);
     }
     return out;
@@ -267,7 +267,7 @@
 void job_scheduler::mark_changed(job& j)
 {
     ++j.last_change;
-    dirty_.insert(j.id());
+    unstored_.add(j.id());
 }
 
 void job_scheduler::reserve_capacity(open_job& open, const task_position& p, task_run& run)
@@ -379,7 +379,7 @@
 std::vector<progress_write> job_scheduler::unstored(std::size_t most) const
 {
     std::vector<progress_write> out;
-    for (const job_id& id : dirty_) {
+    for (const auto& [number, id] : unstored_.jobs()) {
         if (out.size() >= most)
             break;
         const job& j = *jobs_.at(id).state;
@@ -396,8 +396,9 @@
             continue;
         job& j = *open->state;
         j.stored_change = std::max(j.stored_change, w.change);
-        if (j.stored_change == j.last_change)
-            dirty_.erase(w.job);
+        unstored_.remove(w.job);
+        if (j.stored_change != j.last_change)
+            unstored_.add(w.job);
         j.for_open_tasks([&](const task_position& p, task& t) {
             if (t.run && t.run->phase == run_phase::planned && t.run->planned_change <= j.stored_change)
                 order_start(*open, p, time);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -9,6 +9,7 @@
 #include "jobs/scheduler_settings.h"
 #include "jobs/target_status.h"
 #include "jobs/work_order.h"
+#include "jobs/write_queue.h"
 
 #include <functional>
 #include <map>
@@ -200,8 +201,9 @@
     void plan(scheduler_time time);
     /// Whether jobs, targets or free capacity have changed since the last `plan`.
     [[nodiscard]] bool planning_needed() const { return !plan_needed_.empty(); }
-    [[nodiscard]] bool has_unstored() const { return !dirty_.empty(); }
-    /// Returns the progress of at most `most` jobs with changes that the store does not have.
+    [[nodiscard]] bool has_unstored() const { return !unstored_.empty(); }
+    /// Returns the progress of at most `most` jobs with changes that the store does not have, first of those
+    /// that have waited longest.
     [[nodiscard]] std::vector<progress_write> unstored(std::size_t most) const;
     /// Sets the waits for silent targets that an earlier leader has stored. Must precede all orders.
     void restore_lease_waits(const lease_waits& waits);
@@ -551,7 +553,7 @@
     std::set<target_id> with_unstored_ends_; ///< Targets whose ends the store may not have.
     std::map<team_id, resources> team_use_;
     std::map<job_id, open_job*> jobs_with_runs_;
-    std::set<job_id> dirty_; ///< Jobs with changes that the store does not have.
+    write_queue unstored_;
     std::map<target_id, lost_target> lost_targets_;
     /// Targets that were lost under earlier leaders and whose successors have not been looked for yet.
     std::set<target_id> restored_losses_;
