Don't send an order after what permitted it is known to hold

Starts were checked when they were handed over. From then on an order could wait for a connection or for the I/O thread for 0.4 s, counted anew for each from when its call was made, after the encoding of all orders before it; orders for hosts 1 s. The margins (0.5 s for views, 0.3 s for the leader's lease) cover the way to the target, not that wait.

Change: a start carries the time until which the views are recent and the leader's lease excludes another leader, an order for a host that of the lease, and of the views if it ends runs. The HTTP client compares it right before the first byte; the call fails as `expired` then, which says that nothing was sent.

Tests: a start that waits 2.5 s on its host while all targets begin to drain isn't sent, and the job completes later; a call that waited for a connection beyond its limit is not sent; the limit of an order for a host is that of lease and views. The simulated hosts can make orders wait.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -65,7 +65,8 @@
         std::string body;
         steady::time_point deadline;
         /// The deadline on a clock that also counts suspended time. No byte is sent after it.
-        timestamp send_until;
+        timestamp timeout_at;
+        timestamp send_until; ///< No byte is sent from then on, whatever is left of the timeout.
         callback done;
     };
 
@@ -216,9 +217,10 @@
 
     void write()
     {
-        // The I/O thread may have been paused since the call was made.
-        if (client_->time_.now() >= call_->send_until) {
-            fail(http_errc::not_connected);
+        // The call may have waited for a connection, or the I/O thread may have been paused.
+        const timestamp now = client_->time_.now();
+        if (now >= call_->send_until || now >= call_->timeout_at) {
+            fail(now >= call_->send_until ? http_errc::expired : http_errc::not_connected);
             return;
         }
         state_ = state::writing;
@@ -254,9 +256,9 @@
 
     void read()
     {
+        buffer_.reserve(client_->settings_.read_size);
         parser_.emplace();
         parser_->header_limit(max_response_header);
-        buffer_.reserve(client_->settings_.read_size);
         parser_->body_limit(client_->settings_.max_response);
         if (call_->method == "HEAD")
             parser_->skip(true);
@@ -404,7 +406,8 @@
     asio::post(impl_->context_, [self = impl_] { self->close_all(); });
 }
 
-void http_client::send(const http_endpoint& endpoint, http_request request, duration timeout, callback done)
+void http_client::send(const http_endpoint& endpoint, http_request request, duration timeout, callback done,
+                       timestamp send_until)
 {
     const std::shared_ptr<impl::call> c = std::make_shared<impl::call>();
     c->endpoint = endpoint;
@@ -412,7 +415,8 @@
     c->head = format_head(endpoint, request);
     c->body = std::move(request.body);
     c->deadline = steady::now() + timeout;
-    c->send_until = impl_->time_.now() + timeout;
+    c->timeout_at = impl_->time_.now() + timeout;
+    c->send_until = send_until;
     c->done = std::move(done);
     asio::post(impl_->context_, [self = impl_, c] { self->send(c); });
 }
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -21,6 +21,7 @@
     timed_out,
     bad_response, ///< Not a whole HTTP response.
     too_many,     ///< The limit of connections to this address is reached; nothing was sent.
+    expired,      ///< The request was not to be sent any more when its turn came; nothing was sent.
 };
 
 struct http_endpoint {
@@ -33,9 +34,9 @@
 struct http_client_settings {
     std::size_t max_connections_per_endpoint = 64;
     std::size_t max_response = 64 << 20;
-    duration connect_timeout{std::chrono::seconds{1}};
     /// Bytes read at a time, at least. Other connections get their turn after each.
     std::size_t read_size = 4 << 10;
+    duration connect_timeout{std::chrono::seconds{1}};
     duration idle_timeout{std::chrono::seconds{30}}; ///< An unused connection is closed after this.
     /// Calls beyond the limit of connections wait for a free one instead of failing with `too_many`.
     bool wait_for_connection = false;
@@ -53,8 +54,10 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    /// `done` is invoked once on the I/O thread, also when the client is destroyed first.
-    void send(const http_endpoint& endpoint, http_request request, duration timeout, callback done);
+    /// `done` is invoked once on the I/O thread, also when the client is destroyed first. From `send_until`
+    /// on, a time on the clock of the system, no byte of the request is sent; the error is then `expired`.
+    void send(const http_endpoint& endpoint, http_request request, duration timeout, callback done,
+              timestamp send_until = timestamp::max());
 
 private:
     class impl;
--- a/src/libs/net/tests/tst_http_client.cpp
+++ b/src/libs/net/tests/tst_http_client.cpp
@@ -1,3 +1,4 @@
+#include "core/clock.h"
 #include "loopback.h"
 
 #include <catch2/catch.hpp>
@@ -251,3 +252,34 @@
     std::array<char, 1> byte{};
     CHECK(socket.read_some(buffer(byte), ec) == 0);
 }
+
+// Guards against an order that is sent after what permitted it has ended.
+TEST_CASE("a call that waited beyond its limit for sending is not sent, and says so")
+{
+    io_runtime runtime;
+    runtime.start();
+    http_client_settings settings = patient();
+    settings.max_connections_per_endpoint = 1;
+    settings.wait_for_connection = true;
+    http_client client{runtime, settings};
+    raw_server server;
+    auto first = send_async(client, server.port(), get_request());
+    tcp::socket socket = server.accept();
+    raw_server::read_head(socket);
+    const system_clock_source time;
+    const timestamp limit = time.now() + std::chrono::milliseconds{20};
+    std::promise<tl::expected<http_response, http_errc>> second;
+    client.send(
+        {"127.0.0.1", server.port()}, get_request(), never,
+        [&second](tl::expected<http_response, http_errc> r) { second.set_value(std::move(r)); }, limit);
+    while (time.now() < limit)
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    boost::asio::write(socket, buffer(ok));
+    CHECK(first.get());
+    const tl::expected<http_response, http_errc> result = second.get_future().get();
+    REQUIRE_FALSE(result);
+    CHECK(result.error() == http_errc::expired);
+    std::array<char, 1> byte{};
+    boost::system::error_code ec;
+    CHECK(socket.read_some(buffer(byte), ec) == 0);
+}
--- a/src/libs/platform/http_peer_client.cpp
+++ b/src/libs/platform/http_peer_client.cpp
@@ -14,6 +14,7 @@
     switch (ec) {
     case http_errc::not_connected:
     case http_errc::too_many:
+    case http_errc::expired:
         return peer_errc::not_connected;
     case http_errc::connection_lost:
         return peer_errc::connection_lost;
--- a/src/libs/platform/http_target_client.cpp
+++ b/src/libs/platform/http_target_client.cpp
@@ -14,6 +14,7 @@
     switch (ec) {
     case http_errc::not_connected:
     case http_errc::too_many:
+    case http_errc::expired:
         return target_errc::not_connected;
     case http_errc::connection_lost:
         return target_errc::connection_lost;
--- a/src/libs/platform/store_codec.cpp
+++ b/src/libs/platform/store_codec.cpp
@@ -153,6 +153,7 @@
     switch (ec) {
     case http_errc::not_connected:
     case http_errc::too_many:
+    case http_errc::expired:
         return store_errc::unreachable;
     case http_errc::connection_lost:
     case http_errc::timed_out:
--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -17,12 +17,12 @@
 } // namespace
 
 host_manager::host_manager(host_manager_settings settings, host_manager_services services,
-                           fencing_token token, std::function<bool()> lease_valid)
+                           fencing_token token, std::function<timestamp()> lease_until)
     : settings_{settings}, scheduler_{services.scheduler}, operations_{services.operations},
       time_{services.time}, log_{services.log}, token_{token}, journal_{services.store, services.time,
                                                                         services.log, token,
                                                                         [this] { process_orders(); }},
-      lease_valid_{std::move(lease_valid)}, started_at_{time_.now()}
+      lease_until_{std::move(lease_until)}, started_at_{time_.now()}
 {
 }
 
@@ -390,7 +390,7 @@
             pending.order.target = target_of(id);
         orders[id] = pending.order;
     }
-    if (lease_valid_())
+    if (lease_valid())
         journal_.set(orders);
 }
 
@@ -404,7 +404,7 @@
             waits_for_retry || now < pending.not_before)
             continue;
         const auto host = hosts_.find(id);
-        if (host == hosts_.end() || host->second.state != host_state::up || !lease_valid_() ||
+        if (host == hosts_.end() || host->second.state != host_state::up || !lease_valid() ||
             !journal_.is_stored(id, pending.order))
             continue;
         // If the host has a new target, the next planning round stores the order with it before it is sent.
@@ -432,9 +432,17 @@
                 on_order_answer(host, answer);
         };
     if (pending.order.kind == host_order_kind::move)
-        operations_.move(host, pending.order.pool, token_, done);
+        operations_.move(host, pending.order.pool, token_, send_limit(pending), done);
     else
-        operations_.maintain(host, waves_[pending.order.wave].wave.number, token_, done);
+        operations_.maintain(host, waves_[pending.order.wave].wave.number, token_, send_limit(pending), done);
+}
+
+timestamp host_manager::send_limit(const pending_order& pending) const
+{
+    const auto t = scheduler_.targets().find(pending.order.target);
+    const bool ends_runs = t != scheduler_.targets().end() && !t->second.settled();
+    // Whether the runs on the host may end was told by the views of the targets.
+    return ends_runs ? std::min(lease_until_(), scheduler_.views_recent_until()) : lease_until_();
 }
 
 void host_manager::on_order_answer(const std::string& host, const tl::expected<void, host_errc>& answer)
--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -66,9 +66,9 @@
 /// Moves hosts between pools and takes them down for maintenance. Lives for one term of leadership.
 class host_manager {
 public:
-    /// `lease_valid` returns whether no other entry host can lead at this moment.
+    /// `lease_until` returns the time until which no other entry host can lead.
     host_manager(host_manager_settings settings, host_manager_services services, fencing_token token,
-                 std::function<bool()> lease_valid);
+                 std::function<timestamp()> lease_until);
     ~host_manager();
     host_manager(const host_manager&) = delete;
     host_manager& operator=(const host_manager&) = delete;
@@ -113,6 +113,10 @@
     void store_orders();
     void process_orders();
     void send_order(const std::string& host, pending_order& pending);
+    /// Whether no other entry host can lead at this moment.
+    [[nodiscard]] bool lease_valid() const { return time_.now() < lease_until_(); }
+    /// Returns the time from which on the order must not be sent, unless it is checked again.
+    [[nodiscard]] timestamp send_limit(const pending_order& pending) const;
     void on_order_answer(const std::string& host, const tl::expected<void, host_errc>& answer);
     void finish_orders(timestamp requested_at);
     /// Whether a list of hosts, requested at the given time, shows that the order has nothing left to wait
@@ -148,7 +152,7 @@
     logger log_;
     const fencing_token token_;
     host_order_journal journal_;
-    const std::function<bool()> lease_valid_; ///< Whether no other entry host can lead at this moment.
+    const std::function<timestamp()> lease_until_; ///< Time until which no other entry host can lead.
     const timestamp started_at_;
     std::shared_ptr<const fleet_config> config_;
     std::map<std::string, host_info> hosts_;
--- a/src/plugins/jobs/host_operations.h
+++ b/src/plugins/jobs/host_operations.h
@@ -62,12 +62,13 @@
 
     /// Lists all hosts of the fleet.
     virtual void list(list_callback done) = 0;
-    /// Moves a host to another pool.
+    /// Moves a host to another pool. The order is not sent from `send_until` on; the error is then
+    /// `not_sent`.
     virtual void move(const std::string& host, const service_id& pool, fencing_token token,
-                      done_callback done) = 0;
-    /// Takes a host down for maintenance in the given wave.
+                      timestamp send_until, done_callback done) = 0;
+    /// Takes a host down for maintenance in the given wave. `send_until` as for `move`.
     virtual void maintain(const std::string& host, std::uint64_t wave, fencing_token token,
-                          done_callback done) = 0;
+                          timestamp send_until, done_callback done) = 0;
     /// Reports to the operator whether a wave has completed, and stores `record` for the next leader. Fails
     /// unless the leader with this token still leads.
     virtual void report_wave(const maintenance_wave& wave, bool completed, const std::string& record,
--- a/src/plugins/jobs/host_waves.cpp
+++ b/src/plugins/jobs/host_waves.cpp
@@ -116,7 +116,7 @@
 {
     const std::string record = encode_wave_record(w.record);
     if (w.report_in_flight || (record == w.reported_record && w.completed == w.completed_reported) ||
-        !lease_valid_())
+        !lease_valid())
         return;
     w.report_in_flight = true;
     operations_.report_wave(
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -78,11 +78,11 @@
                                                                  "The leader's decisions and observations.",
                                                                  {{"event", std::string{name}}}));
     if (services_.hosts != nullptr) {
-        hosts_ = std::make_unique<host_manager>(
-            settings_.hosts,
-            host_manager_services{scheduler_, *services_.hosts, services_.store, services_.time,
-                                  services_.log},
-            token_, [this] { return services_.time.now() < lease_until_(); });
+        hosts_ = std::make_unique<host_manager>(settings_.hosts,
+                                                host_manager_services{scheduler_, *services_.hosts,
+                                                                      services_.store, services_.time,
+                                                                      services_.log},
+                                                token_, lease_until_);
         hosts_->set_config(config);
     }
     scheduler_.set_config(std::move(config));
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -418,10 +418,13 @@
 std::vector<target_command> job_scheduler::take_commands(scheduler_time time)
 {
     withdraw_starts(time);
-    for (const target_command& command : commands_) {
-        if (const start_command* start = std::get_if<start_command>(&command))
-            jobs_.at(start->order.task.job).state->at(start->order.task.position).last_sent_run =
-                start->order.run;
+    for (target_command& command : commands_) {
+        start_command* const start = std::get_if<start_command>(&command);
+        if (start == nullptr)
+            continue;
+        start->order.send_until = std::min(views_recent_until(), leases_.leader_lease_until());
+        jobs_.at(start->order.task.job).state->at(start->order.task.position).last_sent_run =
+            start->order.run;
     }
     return std::exchange(commands_, {});
 }
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -168,8 +168,10 @@
     /// Sets the time until which no other host can lead. Without it, this leader starts nothing and extends
     /// no lease.
     void set_leader_lease(timestamp until) { leases_.set_leader_lease(until); }
-    /// Whether the views of the targets and of the cancellations are recent enough for starts.
-    [[nodiscard]] bool may_start(timestamp now) const;
+    /// Whether the views are recent enough for starts.
+    [[nodiscard]] bool may_start(timestamp now) const { return now <= views_recent_until(); }
+    /// Returns the time until which the views are recent enough for starts if they are not renewed.
+    [[nodiscard]] timestamp views_recent_until() const;
     /// Sets the hosts that take no new work, and the hosts that will be maintained soon. The latter get
     /// permanent tasks only if no other host has free capacity.
     void set_cordons(const std::set<std::string>& cordoned, const std::set<std::string>& maintained_soon);
--- a/src/plugins/jobs/lease_policy.h
+++ b/src/plugins/jobs/lease_policy.h
@@ -53,6 +53,7 @@
     /// Sets the time until which no other host can lead. Before the first call no lease is granted.
     void set_leader_lease(timestamp until) { leader_lease_until_ = until; }
     [[nodiscard]] bool may_grant(timestamp now) const { return now < leader_lease_until_; }
+    [[nodiscard]] timestamp leader_lease_until() const { return leader_lease_until_; }
     /// Returns the lease that a target with this clock gets, or no value if another host may lead by now.
     [[nodiscard]] std::optional<granted_lease> grant(const clock_reading& clock, timestamp now) const;
     /// Whether the target's clock has to be read again, since it may have drifted.
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -76,10 +76,10 @@
     cancellations_known_at_ = cancellations;
 }
 
-bool job_scheduler::may_start(timestamp now) const
+timestamp job_scheduler::views_recent_until() const
 {
-    return now - targets_known_at_ <= settings_.max_target_view_age &&
-           now - cancellations_known_at_ <= settings_.max_cancel_view_age;
+    return std::min(targets_known_at_ + settings_.max_target_view_age,
+                    cancellations_known_at_ + settings_.max_cancel_view_age);
 }
 
 void job_scheduler::plan_pool(const service_id& service, service_queue& queue, scheduler_time time)
--- a/src/plugins/jobs/target_orders.h
+++ b/src/plugins/jobs/target_orders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/time_types.h"
 #include "jobs/job_types.h"
 #include "net/http_client.h"
 
@@ -46,12 +47,15 @@
     fencing_token token = 0;
     std::string checkpoint; ///< Checkpoint from which the run continues; empty to start from the beginning.
     std::string ticket;     ///< Empty if the queue needs none.
+    /// From then on the order must not be sent, since what permits it is only known to hold until then.
+    timestamp send_until = timestamp::max();
 };
 
 /// Why an order had no effect, or is not known to have had one.
 enum class order_errc {
     no_answer,      ///< The order may have been carried out, or may be carried out later.
     not_sent,       ///< The target did not receive the order.
+    expired,        ///< The order was not sent, since its permission ended while it waited on this host.
     fenced,         ///< The target has received an order of a newer leader.
     superseded,     ///< This run or a later one of the task was stopped or has ended on the target.
     too_late,       ///< The lease had expired when the order arrived.
@@ -64,9 +68,10 @@
 
 template <>
 struct enum_names<order_errc> {
-    static constexpr std::array<std::pair<order_errc, std::string_view>, 10> entries{{
+    static constexpr std::array<std::pair<order_errc, std::string_view>, 11> entries{{
         {order_errc::no_answer, "no_answer"},
         {order_errc::not_sent, "not_sent"},
+        {order_errc::expired, "expired"},
         {order_errc::fenced, "fenced"},
         {order_errc::superseded, "superseded"},
         {order_errc::too_late, "too_late"},
--- a/src/plugins/jobs/tests/fakes/fake_targets.h
+++ b/src/plugins/jobs/tests/fakes/fake_targets.h
@@ -195,12 +195,15 @@
     /// Returns whether the entry host has had no fault for a while; null if it never has one.
     std::function<bool()> in_touch;
     duration answer_delay{0};                ///< Time for which the entry host leaves answers unhandled.
+    duration send_delay{0};                  ///< Time for which starts wait on the entry host.
     std::set<std::string> unreachable_hosts; ///< Hosts whose targets the entry host is cut off from.
 
     void start(const target_ref& target, const start_order& order, order_callback done) override
     {
-        if (reaches(target, done))
-            fleet_.start(target, order, !in_touch || in_touch(), handled_later(std::move(done)));
+        if (send_delay == duration{0})
+            send_start(target, order, done);
+        else
+            loop_.after(send_delay, [this, target, order, done] { send_start(target, order, done); });
     }
     void stop(const target_ref& target, const task_key& task, run_number run, fencing_token token,
               order_callback done) override
@@ -220,6 +223,13 @@
     }
 
 private:
+    void send_start(const target_ref& target, const start_order& order, const order_callback& done)
+    {
+        if (loop_.time().now() >= order.send_until)
+            done(tl::unexpected{order_errc::expired});
+        else if (reaches(target, done))
+            fleet_.start(target, order, !in_touch || in_touch(), handled_later(done));
+    }
     /// Returns whether the target can be reached. Otherwise the order is lost and `done` is told so later.
     template <typename Callback>
     [[nodiscard]] bool reaches(const target_ref& target, const Callback& done)
@@ -302,15 +312,15 @@
         else
             loop_.after(latency, [this, done] { done(fleet_.hosts()); });
     }
-    void move(const std::string& host, const service_id& pool, fencing_token token,
+    void move(const std::string& host, const service_id& pool, fencing_token token, timestamp send_until,
               done_callback done) override
     {
-        send([this, host, pool, token] { fleet_.move(host, pool, token); }, std::move(done));
+        send([this, host, pool, token] { fleet_.move(host, pool, token); }, send_until, std::move(done));
     }
-    void maintain(const std::string& host, std::uint64_t /*wave*/, fencing_token token,
+    void maintain(const std::string& host, std::uint64_t /*wave*/, fencing_token token, timestamp send_until,
                   done_callback done) override
     {
-        send([this, host, token] { fleet_.maintain(host, token); }, std::move(done));
+        send([this, host, token] { fleet_.maintain(host, token); }, send_until, std::move(done));
     }
     void report_wave(const maintenance_wave& wave, bool completed, const std::string& record,
                      fencing_token token, done_callback done) override;
@@ -320,6 +330,7 @@
     std::map<std::string, bool> reported; ///< By name of the wave: whether it was reported as completed.
     bool calls_lost = false;              ///< Whether calls have no effect and get no answer.
     bool answers_lost = false;            ///< Whether orders are carried out and get no answer.
+    duration send_delay{0};               ///< Time for which orders wait on the entry host.
 
 private:
     static constexpr std::chrono::milliseconds latency{5};
@@ -330,19 +341,24 @@
     {
         loop_.after(call_timeout, [done] { done(tl::unexpected{host_errc::no_answer}); });
     }
-    void send(std::function<void()> effect, done_callback done)
+    void send(std::function<void()> effect, timestamp send_until, done_callback done)
     {
+        if (send_delay > duration{0} && loop_.time().now() + send_delay >= send_until) {
+            loop_.after(send_delay, [done] { done(tl::unexpected{host_errc::not_sent}); });
+            return;
+        }
         if (calls_lost) {
             fail_unanswered(std::move(done));
             return;
         }
         if (answers_lost)
             fail_unanswered(done);
-        loop_.after(latency, [effect = std::move(effect), done = std::move(done), lost = answers_lost] {
-            effect();
-            if (!lost)
-                done({});
-        });
+        loop_.after(send_delay + latency,
+                    [effect = std::move(effect), done = std::move(done), lost = answers_lost] {
+                        effect();
+                        if (!lost)
+                            done({});
+                    });
     }
 
     virtual_loop& loop_;
--- a/src/plugins/jobs/tests/fakes/fake_transaction_store.h
+++ b/src/plugins/jobs/tests/fakes/fake_transaction_store.h
@@ -74,7 +74,7 @@
     std::size_t watches = 0;                   ///< Number of calls to `watch`.
     duration answer_delay{0};                  ///< Time for which the host leaves answers unhandled.
     duration watch_delay{0};                   ///< The same for the changes that a watch has read.
-    std::size_t most_changes = 500; ///< Number of changes that a watch answers with at most.
+    std::size_t most_changes = 500;            ///< Number of changes that a watch answers with at most.
     timestamp late_until; ///< When the last answer that is left unhandled so far will be handled.
 
     void get(const std::string& key, get_callback done) override;
--- a/src/plugins/jobs/tests/tst_host_orders.cpp
+++ b/src/plugins/jobs/tests/tst_host_orders.cpp
@@ -17,14 +17,16 @@
 public:
     void list(list_callback done) override { lists.push_back(std::move(done)); }
     void move(const std::string& /*host*/, const service_id& /*pool*/, fencing_token /*token*/,
-              done_callback done) override
+              timestamp send_until, done_callback done) override
     {
         orders.push_back(std::move(done));
+        send_limits.push_back(send_until);
     }
     void maintain(const std::string& /*host*/, std::uint64_t /*wave*/, fencing_token /*token*/,
-                  done_callback done) override
+                  timestamp send_until, done_callback done) override
     {
         orders.push_back(std::move(done));
+        send_limits.push_back(send_until);
     }
     void report_wave(const maintenance_wave& /*wave*/, bool /*completed*/, const std::string& /*record*/,
                      fencing_token /*token*/, done_callback done) override
@@ -34,6 +36,7 @@
 
     std::deque<list_callback> lists; ///< Calls that wait for their answers.
     std::deque<done_callback> orders;
+    std::vector<timestamp> send_limits; ///< Of all orders, when they must not be sent any more.
 };
 
 store_revision put_leader_key(fake_transaction_store& store)
@@ -91,7 +94,7 @@
     host_manager manager{{},
                          {f.scheduler, operations, link_, loop.time(), logger{sink_, "test"}},
                          put_leader_key(store_),
-                         [] { return true; }};
+                         [this] { return loop.time().now() + 1s; }};
 };
 
 } // namespace
@@ -120,3 +123,13 @@
     t.answer_list(host_state::maintained);
     CHECK(t.runs() == 0);
 }
+
+// Guards against an order that is sent after another entry host may lead, because it has waited on this one.
+TEST_CASE("an order for a host is not to be sent after the lease or the views under which it was decided")
+{
+    maintained_host t{true};
+    t.run_for(10s);
+    REQUIRE_FALSE(t.operations.send_limits.empty());
+    CHECK(t.operations.send_limits.front() <= t.f.scheduler.views_recent_until());
+    CHECK(t.operations.send_limits.front() <= t.loop.time().now() + 1s);
+}
--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -439,3 +439,27 @@
     CHECK(sim.completed("steps"));
     CHECK(sim.fleet.violations.empty());
 }
+
+// Guards against a start on a target that has said that it leaves while the order waited to be sent.
+TEST_CASE("a start that waits on its entry host is not sent once its permission has ended")
+{
+    fleet_simulation sim{34};
+    sim.run_for(3s);
+    entry_host* leader = sim.leader();
+    REQUIRE(leader != nullptr);
+    leader->orders().send_delay = 2500ms;
+    sim.submit("j", 4);
+    sim.run_for(200ms);
+    for (const host_info& h : sim.fleet.hosts())
+        sim.fleet.drain(h.id, 8s, restart_kind::new_address);
+    sim.run_for(6s);
+    for (const std::string& violation : sim.fleet.violations)
+        UNSCOPED_INFO(violation);
+    CHECK(sim.fleet.violations.empty());
+    CHECK(sim.fleet.starts == 0);
+
+    leader->orders().send_delay = 0ms;
+    sim.run_for(20s);
+    CHECK(sim.completed("j"));
+    CHECK(sim.fleet.violations.empty());
+}
