Start nothing under a configuration that may be out of date

The same cause in configuration: the leader bounded the age of what it knows of targets and cancellations, and had no belief about the age of the configuration at all. A leader whose watch of it stands still, while its lease is renewed on another connection, would start runs that only an earlier version allows (a removed route, a lowered cap).

Callers are still served by the configuration that a host has.

Test: a leader whose configuration stands still starts no run, and goes on when it has it again.

--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -71,7 +71,8 @@
       extended_leases_{lease_counter(services_.metrics, "extended")},
       withheld_leases_{lease_counter(services_.metrics, "withheld")}, target_view_age_seconds_{view_age_gauge(
                                                                           services_.metrics, "targets")},
-      cancel_view_age_seconds_{view_age_gauge(services_.metrics, "cancellations")}
+      cancel_view_age_seconds_{view_age_gauge(services_.metrics, "cancellations")},
+      config_view_age_seconds_{view_age_gauge(services_.metrics, "configuration")}
 {
     for (const auto& [event, name] : enum_names<scheduler_event>::entries)
         event_counters_.emplace(event, services_.metrics.counter("mjm_scheduler_events_total",
@@ -313,8 +314,8 @@
                 next_load_ = services_.time.now() + settings_.retry;
         }));
     }
-    if (inbox_)
     read_store_revision();
+    if (inbox_)
         inbox_->tick();
     services_.directory.tick();
     if (loaded_) {
@@ -326,7 +327,6 @@
     plan_and_send();
 }
 
-void job_leader::update_limits()
 void job_leader::read_store_revision()
 {
     const timestamp at = services_.time.now();
@@ -339,26 +339,31 @@
                          [](const tl::expected<store_page, store_errc>&) {});
 }
 
+void job_leader::update_limits()
 {
-    const timestamp targets = services_.directory.view_time();
-    const timestamp cancellations = inbox_ ? inbox_->view_time() : timestamp{};
-    scheduler_.set_view_times(targets, cancellations);
+    view_times known;
+    known.targets = services_.directory.view_time();
+    known.cancellations = inbox_ ? inbox_->view_time() : timestamp{};
+    known.configuration = services_.config_known_at ? services_.config_known_at() : services_.time.now();
+    scheduler_.set_view_times(known);
     scheduler_.set_leader_lease(lease_until_());
     if (loaded_ && has_targets_)
-        log_view_age(targets, cancellations);
+        log_view_age(known);
 }
 
-void job_leader::log_view_age(timestamp targets, timestamp cancellations)
+void job_leader::log_view_age(const view_times& known)
 {
     const timestamp at = services_.time.now();
-    target_view_age_seconds_.set(seconds(at - targets));
-    cancel_view_age_seconds_.set(seconds(at - cancellations));
+    target_view_age_seconds_.set(seconds(at - known.targets));
+    cancel_view_age_seconds_.set(seconds(at - known.cancellations));
+    config_view_age_seconds_.set(seconds(at - known.configuration));
     if (scheduler_.may_start(at) != starts_paused_)
         return;
     starts_paused_ = !starts_paused_;
-    services_.log.info(
-        starts_paused_ ? "starts_paused" : "starts_resumed",
-        {{"targets_age_ms", to_ms(at - targets)}, {"cancellations_age_ms", to_ms(at - cancellations)}});
+    services_.log.info(starts_paused_ ? "starts_paused" : "starts_resumed",
+                       {{"targets_age_ms", to_ms(at - known.targets)},
+                        {"cancellations_age_ms", to_ms(at - known.cancellations)},
+                        {"configuration_age_ms", to_ms(at - known.configuration)}});
 }
 
 void job_leader::observe_cancel_delay(const kv_entry& entry)
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -44,6 +44,8 @@
     const clock& time;
     logger log;
     metric_registry& metrics;
+    /// Returns the time whose configuration the leader has been given; null if it doesn't change.
+    std::function<timestamp()> config_known_at = {};
 };
 
 enum class leader_errc { loading, unknown_job, falls_behind };
@@ -84,12 +86,12 @@
     /// Runs `plan_and_send` once all events that are already queued have been handled, so that its cost is
     /// shared by them.
     void request_pass();
-    /// Tells the scheduler how recent its views are and until when this host leads.
-    void update_limits();
     /// Asks the store for its revision, unless an answer has shown it recently.
     void read_store_revision();
+    /// Tells the scheduler how recent its views are and until when this host leads.
+    void update_limits();
     /// Logs that the views have become too old for starts, or recent again.
-    void log_view_age(timestamp targets, timestamp cancellations);
+    void log_view_age(const view_times& known);
     void observe_cancel_delay(const kv_entry& entry);
     /// Plans, stores what has changed, and sends the commands and observations that are due.
     void plan_and_send();
@@ -124,13 +126,14 @@
     metric_counter withheld_leases_; ///< Extensions that were left out, since another host may have led.
     metric_gauge target_view_age_seconds_;
     metric_gauge cancel_view_age_seconds_;
+    metric_gauge config_view_age_seconds_;
     std::map<job_id, timestamp> finished_at_; ///< When each job in a final state was first seen as such.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     timestamp next_removal_;
+    timestamp next_revision_read_;
     timestamp next_load_;
     std::optional<std::string> load_after_; ///< Key after which a failed read of progress is to be repeated.
     std::optional<std::string> load_hosts_after_; ///< The same for the records about hosts.
-    timestamp next_revision_read_;
     std::vector<kv_entry> host_entries_;          ///< Records about hosts that have been read so far.
     std::map<std::string, maintenance_wave> waves_;
     bool journal_opened_ = false;
--- a/src/plugins/jobs/job_node.cpp
+++ b/src/plugins/jobs/job_node.cpp
@@ -53,7 +53,8 @@
         leader_ = std::make_unique<job_leader>(
             settings_.leader,
             job_leader_services{services_.store, services_.orders, services_.directory, services_.hosts,
-                                services_.callbacks, services_.time, services_.log, services_.metrics},
+                                services_.callbacks, services_.time, services_.log, services_.metrics,
+                                services_.config_known_at},
             election_.token(), config_, [this] { return election_.lease_until(); },
             [this](const std::string& why) {
                 step_down_reason_ = why;
--- a/src/plugins/jobs/job_node.h
+++ b/src/plugins/jobs/job_node.h
@@ -5,6 +5,7 @@
 #include "jobs/job_leader.h"
 #include "jobs/leadership.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -28,6 +29,8 @@
     random_source& random;
     logger log;
     metric_registry& metrics;
+    /// Returns the time whose configuration the node has been given; null if it doesn't change.
+    std::function<timestamp()> config_known_at = {};
 };
 
 /// The job service of one entry host: handles callers' requests, and schedules all jobs while it is elected
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -28,6 +28,13 @@
     std::int64_t unix_ms = 0;
 };
 
+/// Times whose state the leader knows: each change before them has been handled.
+struct view_times {
+    timestamp targets;
+    timestamp cancellations;
+    timestamp configuration;
+};
+
 /// Progress of a job that is to be written to the store.
 struct progress_write {
     job_id job;
@@ -162,9 +169,9 @@
     bool set_target(const target_info& info, scheduler_time time);
     /// Handles that service discovery no longer has an entry for the target.
     void unlist_target(const target_id& id, scheduler_time time);
-    /// Sets the times whose targets and cancellations this scheduler knows. A scheduler that falls behind
-    /// starts no run with an old view.
-    void set_view_times(timestamp targets, timestamp cancellations);
+    /// Sets the times whose targets, cancellations and configuration this scheduler knows. A scheduler that
+    /// falls behind starts no run with an old view.
+    void set_view_times(const view_times& known) { known_at_ = known; }
     /// Sets the time until which no other host can lead. Without it, this leader starts nothing and extends
     /// no lease.
     void set_leader_lease(timestamp until) { leases_.set_leader_lease(until); }
@@ -568,8 +575,7 @@
     std::set<service_id> plan_needed_; ///< Services whose jobs, targets or free capacity have changed.
     timestamp next_full_plan_;
     timestamp next_run_check_;
-    timestamp targets_known_at_;
-    timestamp cancellations_known_at_;
+    view_times known_at_;
     bool superseded_ = false;
 };
 
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -70,16 +70,11 @@
     }
 }
 
-void job_scheduler::set_view_times(timestamp targets, timestamp cancellations)
-{
-    targets_known_at_ = targets;
-    cancellations_known_at_ = cancellations;
-}
-
 timestamp job_scheduler::views_recent_until() const
 {
-    return std::min(targets_known_at_ + settings_.max_target_view_age,
-                    cancellations_known_at_ + settings_.max_cancel_view_age);
+    return std::min({known_at_.targets + settings_.max_target_view_age,
+                     known_at_.cancellations + settings_.max_cancel_view_age,
+                     known_at_.configuration + settings_.max_config_view_age});
 }
 
 void job_scheduler::plan_pool(const service_id& service, service_queue& queue, scheduler_time time)
@@ -251,7 +246,7 @@
         return "the store has a wait for the target's lease";
     if (!leases_.may_grant(now))
         return "another host may lead";
-    return may_start(now) ? nullptr : "the view of targets or cancellations is too old";
+    return may_start(now) ? nullptr : "the view of targets, cancellations or the configuration is too old";
 }
 
 const char* job_scheduler::obstacle_to_sending(const start_command& start, timestamp now) const
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -17,6 +17,9 @@
     /// Largest age of the view of cancellations with which a run may still start. Less than the time within
     /// which a cancellation must take effect.
     duration max_cancel_view_age{std::chrono::milliseconds{2500}};
+    /// Largest age of the configuration with which a run may still start. Less than the time within which a
+    /// change of the configuration must take effect.
+    duration max_config_view_age{std::chrono::milliseconds{1500}};
     /// Wait before a task is started again after its first failure; doubled with each further failure.
     duration failure_backoff{std::chrono::milliseconds{50}};
     /// Wait before an unanswered stop is sent again, doubled with each further one, and before a stop is
--- a/src/plugins/jobs/tests/fleet_simulation.cpp
+++ b/src/plugins/jobs/tests/fleet_simulation.cpp
@@ -70,9 +70,10 @@
     settings.peer_address = name_;
     target_directory& directory =
         store_directory_ ? static_cast<target_directory&>(*store_directory_) : directory_;
-    node = std::make_unique<job_node>(settings, job_node_services{link, orders_, directory, &operations_,
-                                                                  leader_, loop_, loop_.time(), random_,
-                                                                  logger{sink_, name_}, metrics_});
+    node = std::make_unique<job_node>(
+        settings, job_node_services{link, orders_, directory, &operations_, leader_, loop_, loop_.time(),
+                                    random_, logger{sink_, name_}, metrics_,
+                                    [this] { return config_frozen_at.value_or(loop_.time().now()); }});
     node->set_config(std::move(config));
     node->set_waves(waves);
 }
--- a/src/plugins/jobs/tests/fleet_simulation.h
+++ b/src/plugins/jobs/tests/fleet_simulation.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,6 +39,8 @@
     [[nodiscard]] timestamp last_fault() const { return last_fault_; }
 
     fake_store_link link;
+    /// Since when the host has not heard of the configuration; std::nullopt while it knows the present one.
+    std::optional<timestamp> config_frozen_at;
 
     [[nodiscard]] fake_host_operations& operations() { return operations_; }
     [[nodiscard]] fake_fleet_orders& orders() { return orders_; }
--- a/src/plugins/jobs/tests/scheduler_fixture.cpp
+++ b/src/plugins/jobs/tests/scheduler_fixture.cpp
@@ -28,7 +28,7 @@
           {}, token, {now_, unix_ms_}, [this](const scheduler_log_entry& n) { log_entries.push_back(n); }}
 {
     scheduler.set_config(make_config());
-    scheduler.set_view_times(now_, now_);
+    scheduler.set_view_times({now_, now_, now_});
     scheduler.set_leader_lease(now_ + leader_lease);
 }
 
@@ -93,7 +93,7 @@
 {
     now_ += d;
     unix_ms_ += to_ms(d);
-    scheduler.set_view_times(now_, now_);
+    scheduler.set_view_times({now_, now_, now_});
     scheduler.set_leader_lease(now_ + leader_lease);
     scheduler.tick(now());
     sort_commands(now());
--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -463,3 +463,21 @@
     CHECK(sim.completed("j"));
     CHECK(sim.fleet.violations.empty());
 }
+
+// Guards against starts that only a former configuration allows.
+TEST_CASE("a leader whose configuration may be out of date starts no run")
+{
+    fleet_simulation sim{35};
+    sim.run_for(3s);
+    entry_host* leader = sim.leader();
+    REQUIRE(leader != nullptr);
+    leader->config_frozen_at = sim.loop.time().now();
+    sim.run_for(2s);
+    sim.submit("j", 4);
+    sim.run_for(3s);
+    CHECK(sim.leader() == leader);
+    CHECK(sim.fleet.starts == 0);
+    leader->config_frozen_at.reset();
+    sim.run_for(6s);
+    CHECK(sim.completed("j"));
+}
