Ask for the configuration at once when a host begins to lead

The watch of the configuration waits for up to 1 s on a host that doesn't lead, so a new leader that starts nothing under an old configuration waited for the end of that call. A new leader now asks at once, beside its other readings; the call that waits is dropped.

--- a/src/plugins/jobs/prefix_watch.cpp
+++ b/src/plugins/jobs/prefix_watch.cpp
@@ -21,7 +21,7 @@
         if (reload_)
             list_next();
         else if (now >= sent_at_ + settings_.min_interval)
-            watch_next();
+            watch_next(settings_.wait);
     }
 
     void reload()
@@ -33,6 +33,14 @@
     }
 
     void set_wait(duration wait) { settings_.wait = wait; }
+
+    void refresh()
+    {
+        if (ended_ || reload_)
+            return; // A listing tells the present state, too.
+        watch_next(duration{0});
+    }
+
     void end() { ended_ = true; }
     [[nodiscard]] timestamp last_answer_at() const { return last_answer_at_; }
     [[nodiscard]] timestamp view_time() const
@@ -88,12 +96,15 @@
             tick();
     }
 
-    void watch_next()
+    void watch_next(duration wait)
     {
         busy_ = true;
         sent_at_ = time_.now();
-        store_.watch(settings_.prefix, revision_, settings_.wait,
-                     [self = shared_from_this()](const tl::expected<store_changes, store_errc>& changes) {
+        store_.watch(settings_.prefix, revision_, wait,
+                     [self = shared_from_this(),
+                      call = ++watch_call_](const tl::expected<store_changes, store_errc>& changes) {
+                         if (call != self->watch_call_)
+                             return;
                          self->busy_ = false;
                          if (!self->ended_)
                              self->on_changes(changes);
@@ -159,6 +170,7 @@
     timestamp sent_at_; ///< When the call in flight, or the listing that it continues, was sent.
     store_revision reported_revision_ = 0; ///< All changes up to this revision have been reported.
     timestamp view_time_;                  ///< As proved when the latest answer was reported.
+    std::uint64_t watch_call_ = 0;         ///< Number of the watch call whose answer is awaited.
     std::uint64_t listing_ = 0;            ///< Number of the present listing of all entries.
     bool busy_ = false;
     bool reload_ = true;
@@ -187,6 +199,11 @@
     impl_->set_wait(wait);
 }
 
+void prefix_watch::refresh()
+{
+    impl_->refresh();
+}
+
 void prefix_watch::reload()
 {
     impl_->reload();
--- a/src/plugins/jobs/prefix_watch.h
+++ b/src/plugins/jobs/prefix_watch.h
@@ -43,6 +43,8 @@
     void tick();
     /// Sets `prefix_watch_settings::wait` for the calls from now on.
     void set_wait(duration wait);
+    /// Asks for what has changed so far, without waiting for the call in flight, whose answer is dropped.
+    void refresh();
     /// Reads a new snapshot as soon as possible.
     void reload();
     /// Returns when the store last answered.
--- a/src/plugins/jobs/tests/tst_prefix_watch.cpp
+++ b/src/plugins/jobs/tests/tst_prefix_watch.cpp
@@ -172,6 +172,29 @@
     CHECK(changes > static_cast<std::size_t>(n) - 20);
 }
 
+// Guards against a new leader that starts nothing until a call that waits for changes has ended.
+TEST_CASE("a refresh tells that a view is recent without waiting for the call in flight")
+{
+    virtual_loop loop;
+    fake_transaction_store store{loop};
+    fake_store_link link{loop, store};
+    store.put("p/a", "1");
+    std::vector<std::string> seen;
+    prefix_watch::handler h;
+    h.on_snapshot = [&](const std::vector<kv_entry>& entries) { seen.push_back(entries.front().value); };
+    h.on_change = [&](const store_change& change) { seen.push_back(change.entry.value); };
+    prefix_watch watch{link, loop.time(), {"p/", 5s}, h};
+    const auto run_for = [&](duration d) { loop.run_for(d, [&] { watch.tick(); }); };
+    run_for(2s);
+    CHECK(loop.time().now() - watch.view_time() > 1s);
+    watch.refresh();
+    run_for(100ms);
+    CHECK(loop.time().now() - watch.view_time() <= 100ms);
+    store.put("p/a", "2");
+    run_for(5s); // The answer to the former call has arrived as well.
+    CHECK(seen == std::vector<std::string>{"1", "2"});
+}
+
 TEST_CASE("a history of revisions tells until when the changes up to a revision are complete")
 {
     const timestamp start{1h};
