--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -34,12 +34,12 @@
 struct http_client_settings {
     std::size_t max_connections_per_endpoint = 64;
     std::size_t max_response = 64 << 20;
-    /// Bytes read at a time, at least. Other connections get their turn after each.
-    std::size_t read_size = 4 << 10;
     duration connect_timeout{std::chrono::seconds{1}};
     duration idle_timeout{std::chrono::seconds{30}}; ///< An unused connection is closed after this.
     /// Calls beyond the limit of connections wait for a free one instead of failing with `too_many`.
     bool wait_for_connection = false;
+    /// Bytes read at a time, at least. Other connections get their turn after each.
+    std::size_t read_size = 4 << 10;
 };
 
 /// HTTP/1.1 client with persistent connections. Never repeats a request by itself, except on a reused
