Show tasks that run twice after a late acknowledgement

An observation that acknowledges ends gets no answer and is carried out 4 s later, when its worker has started again under its id; ends of the new life are forgotten, and their tasks run again.

--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <iostream>
+#include <map>
 #include <string>
 #include <thread>
 #include <vector>
@@ -311,6 +312,60 @@
     return most > limit ? broken : held;
 }
 
+/// TWICE: an observation that acknowledges ends gets no answer and is carried out late, when its worker has
+/// started again under its id.
+outcome late_acknowledgement(deployment& d, record& log, bool trouble)
+{
+    d.add_workers(8);
+    if (!d.start())
+        return not_run;
+    sleep_ms(2000);
+    json body = job("vary 800", {{"cpu", 250}, {"mem-mb", 200}, {"estimate-ms", 900}});
+    body["steps"][0]["count"] = 2000;
+    std::uint64_t jobs = 0x1000;
+    const std::int64_t first_at = log.now_ms();
+    std::size_t delayed = 0;
+    for (std::int64_t next = first_at; next < first_at + 24000; next += 1000) {
+        while (log.now_ms() < next)
+            sleep_ms(10);
+        const std::string number = std::to_string(++jobs);
+        if (!d.submit(std::string(16 - number.size(), '0') + number, body.dump()))
+            return not_run;
+        if (trouble && delayed < 3 && log.now_ms() - first_at >= 8000 + 5000 * static_cast<int>(delayed)) {
+            worker& w = *d.workers()[delayed++];
+            w.set_down_time(1000);
+            w.delay_acknowledgement(800, 4000);
+        }
+    }
+    sleep_ms(8000);
+    std::map<std::string, noted_end> first_end;
+    for (const std::unique_ptr<worker>& w : d.workers()) {
+        for (const noted_end& e : w->noted()) {
+            const auto [it, added] = first_end.emplace(e.task, e);
+            if (!added && e.ended_at_ms < it->second.ended_at_ms)
+                it->second = e;
+        }
+    }
+    int twice = 0;
+    for (const std::unique_ptr<worker>& w : d.workers()) {
+        for (const started& s : w->starts()) {
+            const auto it = first_end.find(s.task);
+            if (it == first_end.end() || s.at_ms <= it->second.ended_at_ms)
+                continue;
+            ++twice;
+            log.write("TWICE: " + s.task + " run " + std::to_string(it->second.run) + " ended done at " +
+                      std::to_string(it->second.ended_at_ms) + " ms and was taken note of; run " +
+                      std::to_string(s.run) + " was started on " + s.worker + " at " +
+                      std::to_string(s.at_ms) + " ms");
+        }
+    }
+    log.write("ends taken note of " + std::to_string(first_end.size()) + ", tasks started after theirs " +
+              std::to_string(twice));
+    if (!d.entries_alive() || first_end.empty())
+        return not_run;
+    return twice > 0 ? broken : held;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -338,6 +393,8 @@
                 result = idle_after_cut(d, log, trouble);
             else if (name == "quota-after-failure")
                 result = quota_after_failure(d, log, trouble);
+            else if (name == "late-acknowledgement")
+                result = late_acknowledgement(d, log, trouble);
             d.stop_entries();
         } catch (const std::exception& e) {
             log.write(std::string{"the case could not run: "} + e.what());
--- a/review/standin-2/store.cpp
+++ b/review/standin-2/store.cpp
@@ -12,6 +12,7 @@
 
 using json = nlohmann::json;
 
+constexpr std::chrono::milliseconds answer_time{4};
 constexpr const char* base64_digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
 std::string to_base64(const std::string& text)
@@ -146,6 +147,7 @@
 {
     if (r.path == "/kv-watch")
         return watch(r);
+    std::this_thread::sleep_for(answer_time);
     const std::lock_guard lock{mutex_};
     expire_leases();
     if (r.path == "/kv-key") {
--- a/review/standin-2/worker.cpp
+++ b/review/standin-2/worker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <sstream>
 #include <thread>
 #include <utility>
@@ -236,7 +237,25 @@
         return refuse("fence");
     token_ = token;
     const std::uint64_t seen = body.value("seen-upto", std::uint64_t{0});
-    std::erase_if(ended_, [seen](const end& e) { return e.sequence <= seen; });
+    if (delay_from_ != 0 && seen >= delay_from_) {
+        log_.write(settings_.id + " /hold " + body.dump() + " -> no answer, carried out " +
+                   std::to_string(delay_ms_) + " ms later; " + settings_.id + " crashes meanwhile");
+        delay_from_ = 0;
+        keeps_id_ = true;
+        crash_at_ = log_.now_ms() + 100;
+        std::thread{[this, seen, token, after = delay_ms_] {
+            std::this_thread::sleep_for(std::chrono::milliseconds{after});
+            const std::lock_guard late_lock{mutex_};
+            if (token < token_ || back_at_ != 0)
+                return;
+            log_.write(settings_.id + " carries out the late /hold with seen-upto " + std::to_string(seen) +
+                       "; it lists " + std::to_string(ended_.size()) + " ends, the last one is " +
+                       std::to_string(last_end_));
+            acknowledge(seen);
+        }}.detach();
+        return {200, {}, true};
+    }
+    acknowledge(seen);
     const std::int64_t deadline = body.value("deadline-ms", std::int64_t{0});
     lease_ms_ = std::max(lease_ms_, std::min(deadline, clock_ms() + longest_hold_ms));
     const std::int64_t wait = std::min<std::int64_t>(body.value("wait-ms", std::int64_t{0}), 2000);
@@ -272,13 +291,35 @@
         false};
 }
 
+void worker::acknowledge(std::uint64_t seen)
+{
+    for (const end& e : ended_) {
+        if (e.sequence <= seen && e.how == "done")
+            noted_.push_back({e.task, e.run, e.at_ms});
+    }
+    std::erase_if(ended_, [seen](const end& e) { return e.sequence <= seen; });
+}
+
+void worker::delay_acknowledgement(std::uint64_t least, int late_ms)
+{
+    const std::lock_guard lock{mutex_};
+    delay_from_ = least;
+    delay_ms_ = late_ms;
+}
+
+std::vector<noted_end> worker::noted()
+{
+    const std::lock_guard lock{mutex_};
+    return noted_;
+}
+
 void worker::end_run(const std::string& task, const char* how)
 {
     const run_state run = running_.at(task);
     running_.erase(task);
     std::uint64_t& closed = closed_[task];
     closed = std::max(closed, run.number);
-    ended_.push_back({++last_end_, task, run.number, how});
+    ended_.push_back({++last_end_, task, run.number, how, log_.now_ms()});
     log_.write(settings_.id + " ends " + task + " run " + std::to_string(run.number) + " " + how);
     changed_.notify_all();
 }
@@ -296,7 +337,8 @@
     token_ = 0;
     lease_ms_ = 0;
     back_at_ = log_.now_ms() + down_ms_;
-    silent_entries_[settings_.id] = next_beat_at_ + 2 * beat_ms;
+    if (!keeps_id_)
+        silent_entries_[settings_.id] = next_beat_at_ + 2 * beat_ms;
     server_.stop();
     changed_.notify_all();
 }
@@ -334,6 +376,11 @@
         done_ms = age_ms;
     else if (what == "fill" && words >> limit_ms)
         done_ms = run.worked_ms;
+    if (what == "vary" && words >> limit_ms) {
+        limit_ms =
+            500.0 + static_cast<double>(std::hash<std::string>{}(task) % static_cast<std::size_t>(limit_ms));
+        done_ms = age_ms;
+    }
     std::string index;
     if (what == "fail" && words >> index >> limit_ms) {
         if (task.ends_with("." + index))
@@ -357,7 +404,8 @@
         if (now < back_at_)
             return;
         back_at_ = 0;
-        settings_.id = next_id();
+        if (!keeps_id_)
+            settings_.id = next_id();
         born_unix_ms_ = unix_ms();
         born_at_ = now;
         seq_ = 0;
@@ -365,6 +413,11 @@
         log_.write(settings_.machine + " is back with " + settings_.id);
         beat();
     }
+    if (crash_at_ != 0 && now >= crash_at_) {
+        crash_at_ = 0;
+        crash();
+        return;
+    }
     if (now >= next_beat_at_)
         beat();
     std::vector<std::pair<std::string, const char*>> over;
--- a/review/standin-2/worker.h
+++ b/review/standin-2/worker.h
@@ -41,6 +41,13 @@
     std::uint64_t run = 0;
 };
 
+/// An end `done` that a worker has listed and been told to forget.
+struct noted_end {
+    std::string task;
+    std::uint64_t run = 0;
+    std::int64_t ended_at_ms = 0;
+};
+
 /// One machine of the platform with the worker on it. After a crash it has another worker with a new id. What
 /// a task does is told by its `spec`: "done N" ends after N ms, "crash N" takes the worker down after N ms,
 /// "serve" and "fill" last, and "fill N" ends after N ms of work at full pace. "fail M N" ends after 30 s,
@@ -59,6 +66,12 @@
     void set_latency(double alone_ms, double per_fill_ms);
     /// Cuts the worker off for a while: no call reaches it, and it runs on.
     void cut_off(int ms);
+    /// Leaves the next observation that acknowledges at least `least` ends without an answer. The worker
+    /// crashes 0.1 s later and starts again under its id; the observation is carried out `late_ms` after it
+    /// was received.
+    void delay_acknowledgement(std::uint64_t least, int late_ms);
+    /// Returns the ends `done` that were taken note of, with their times, by task.
+    [[nodiscard]] std::vector<noted_end> noted();
     /// For how long the worker is away after a crash.
     void set_down_time(int ms) { down_ms_ = ms; }
 
@@ -89,6 +102,7 @@
         std::string task;
         std::uint64_t run = 0;
         std::string how;
+        std::int64_t at_ms = 0;
     };
 
     reply handle(const request& r);
@@ -101,6 +115,7 @@
     void crash();
     /// Returns how the run ends now by what its spec says; null if it goes on.
     [[nodiscard]] const char* end_of(const std::string& task, const run_state& run) const;
+    void acknowledge(std::uint64_t seen);
     void end_run(const std::string& task, const char* how);
     void beat();
     [[nodiscard]] std::int64_t clock_ms() const { return log_.now_ms() - born_at_ + 1000; }
@@ -131,6 +146,11 @@
     std::vector<end> ended_;
 
     std::int64_t cut_until_ = 0;
+    std::uint64_t delay_from_ = 0; ///< Least acknowledgement of the observation that is delayed; 0 for none.
+    int delay_ms_ = 0;
+    std::int64_t crash_at_ = 0; ///< When the worker crashes; 0 if it doesn't.
+    bool keeps_id_ = false;     ///< Whether the next life has the same id.
+    std::vector<noted_end> noted_;
     std::int64_t advanced_at_ = 0;
     std::int64_t next_beat_at_ = 0;
     std::map<std::string, std::int64_t> silent_entries_; ///< When entries of former workers are removed.
