--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
 [ -x review/standin-2/bin/standin ] && [ -x target/bin/mjm_platform_entry ] || exit 2
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-review/standin-2/bin/standin fill-flow target/bin/mjm_platform_entry "$folder" "$here/record.txt"
+review/standin-2/bin/standin quota-after-failure target/bin/mjm_platform_entry "$folder" "$here/record.txt"
