--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -6,6 +6,8 @@
 #include "jobs/lease_policy.h"
 #include "jobs/placement.h"
 #include "jobs/run_evidence.h"
+#include "jobs/scheduler_events.h"
+#include "jobs/scheduler_io.h"
 #include "jobs/scheduler_settings.h"
 #include "jobs/target_status.h"
 #include "jobs/work_order.h"
@@ -17,127 +19,10 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace mjm {
 
-/// Time of one call to the scheduler, on the monotonic clock and as Unix time.
-struct scheduler_time {
-    timestamp now;
-    std::int64_t unix_ms = 0;
-};
-
-/// Times whose state the leader knows: each change before them has been handled.
-struct view_times {
-    timestamp targets;
-    timestamp cancellations;
-    timestamp configuration;
-};
-
-/// Progress of a job that is to be written to the store.
-struct progress_write {
-    job_id job;
-    std::uint64_t change = 0; ///< Number of the job's latest change that `text` contains.
-    std::string text;
-};
-
-/// The runs that were given up, to be written to the store.
-struct given_up_record {
-    std::uint64_t change = 0; ///< Number of the latest change that `text` contains.
-    std::string text;
-};
-
-struct start_command {
-    target_ref target;
-    start_order order;
-    timestamp planned_at; ///< When the run was planned.
-};
-struct stop_command {
-    target_ref target;
-    task_key task;
-    run_number run = 0;
-};
-struct pace_command {
-    target_ref target;
-    task_key task;
-    run_number run = 0;
-    int percent = 100;
-};
-using target_command = std::variant<start_command, stop_command, pace_command>;
-
-/// Decisions and observations of the scheduler, for the log and metrics.
-enum class scheduler_event {
-    job_added,
-    job_cancelled,
-    job_finished,
-    run_planned,
-    run_discarded,
-    run_ended,
-    target_added,
-    target_changed,
-    target_unlisted,
-    target_reachable,
-    target_unreachable,
-    target_restarted,
-    target_lost,
-    target_avoided,
-    unknown_run_stopped,
-    run_stop_requested,
-    target_crashed,
-    task_suspected,
-    job_given_up,
-    end_withheld,
-    given_up_runs_dropped,
-};
-
-template <>
-struct enum_names<scheduler_event> {
-    static constexpr std::array<std::pair<scheduler_event, std::string_view>, 21> entries{{
-        {scheduler_event::job_added, "job_added"},
-        {scheduler_event::job_cancelled, "job_cancelled"},
-        {scheduler_event::job_finished, "job_finished"},
-        {scheduler_event::run_planned, "run_planned"},
-        {scheduler_event::run_discarded, "run_void"},
-        {scheduler_event::run_ended, "run_ended"},
-        {scheduler_event::target_added, "target_added"},
-        {scheduler_event::target_changed, "target_changed"},
-        {scheduler_event::target_unlisted, "target_unlisted"},
-        {scheduler_event::target_reachable, "target_reachable"},
-        {scheduler_event::target_unreachable, "target_unreachable"},
-        {scheduler_event::target_restarted, "target_reborn"},
-        {scheduler_event::target_lost, "target_lost"},
-        {scheduler_event::target_avoided, "target_avoided"},
-        {scheduler_event::unknown_run_stopped, "unknown_run_stopped"},
-        {scheduler_event::run_stop_requested, "run_stop_requested"},
-        {scheduler_event::target_crashed, "target_crashed"},
-        {scheduler_event::task_suspected, "task_suspected"},
-        {scheduler_event::job_given_up, "job_given_up"},
-        {scheduler_event::end_withheld, "end_withheld"},
-        {scheduler_event::given_up_runs_dropped, "given_up_runs_dropped"},
-    }};
-};
-
-/// One decision or observation. Fields that do not apply are empty.
-struct scheduler_log_entry {
-    scheduler_event event = scheduler_event::job_added;
-    job_id job;
-    std::string task;
-    run_number run = 0;
-    target_id target;
-    std::string reason;
-    std::int64_t age_ms = 0; ///< Age of the job or run, or of the information on which a decision is based.
-};
-
-/// Resources that a service's open jobs need.
-struct pool_demand {
-    /// Sum over the jobs. Counted for each is the larger of the need of its running and waiting tasks and the
-    /// need of its largest step that still waits for other steps.
-    resources total;
-    resources present; ///< Need of running and waiting tasks.
-    resources waiting; ///< Need of tasks that have no run and whose step is ready.
-};
-
 /// Decides for the leader which task runs on which target, and updates the jobs from the targets' answers and
 /// reports. It does no I/O: the caller writes progress to the store, sends commands to targets, and passes
 /// the answers in. A start becomes a command only once the store has the run.
