Count crashes of targets at any time after the start of a task

crash_streak counts the successive runs of a task whose targets crashed while they were at work. The streak ends with a run that ends by itself or that is at work for twice as long as any run in it. crash_rate tells whether chance explains the crashes, so that permanent tasks and fleets that crash are not held responsible. From three crashes on the next run is separated or isolated; the fourth crash, if one is attributed, or the fifth gives the job up. The streak is stored with the job's progress.

--- a/src/plugins/jobs/job.h
+++ b/src/plugins/jobs/job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/crash_history.h"
+#include "jobs/crash_streak.h"
 #include "jobs/job_types.h"
 #include "jobs/target_orders.h"
 
@@ -38,6 +39,7 @@
     std::uint64_t planned_change = 0; ///< Number of the job's change that must be stored before the start.
     timestamp ordered_at;             ///< When the run was planned, or the latest start or stop was sent; the
                                       ///< epoch if an earlier leader has started it.
+    timestamp listed_at;              ///< When a report listed it last; the epoch if none has.
     timestamp answered_at; ///< When the target confirmed the latest order; the epoch if it has not.
     std::int64_t confirmed_clock_ms = 0;  ///< The target's clock when it confirmed the start.
     int unanswered_stops = 0;             ///< Stops sent since the target confirmed an order.
@@ -64,6 +66,7 @@
     target_id avoided_target; ///< Target where the task last failed or stalled; avoided by the next run.
     bool moved_as_straggler = false; ///< Whether a stalled run was moved; a task is moved only once.
     crash_history crashes;
+    crash_streak streak;
     run_number passed_probation = 0; ///< Latest run that was at work for the probation time.
 };
 
--- a/src/plugins/jobs/job_codec.cpp
+++ b/src/plugins/jobs/job_codec.cpp
@@ -86,6 +86,25 @@
     return json::array({p.occurrence, p.step, p.index, h.crashes, h.attributed, h.unresolved});
 }
 
+json encode_streak(const task_position& p, const crash_streak& s)
+{
+    return json::array({p.occurrence, p.step, p.index, s.crashes, s.exposure.count(), s.longest.count(),
+                        s.unlikely ? 1 : 0});
+}
+
+bool restore_streaks(job& j, const json& rows)
+{
+    for (const json& row : rows) {
+        const task_position p{row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint32_t>(),
+                              row.at(2).get<std::uint32_t>()};
+        if (!j.contains(p))
+            return false;
+        j.at(p).streak = {row.at(3).get<std::uint32_t>(), duration{row.at(4).get<std::int64_t>()},
+                          duration{row.at(5).get<std::int64_t>()}, row.at(6).get<int>() != 0};
+    }
+    return true;
+}
+
 bool restore_crashes(job& j, const json& rows)
 {
     for (const json& row : rows) {
@@ -171,6 +190,7 @@
     if (!is_final(j.state())) {
         json rows = json::array();
         json crashes = json::array();
+        json streaks = json::array();
         const job_spec& spec = j.record().spec;
         for (std::uint32_t k = 0; k < spec.occurrences; ++k) {
             for (std::uint32_t s = 0; s < spec.steps.size(); ++s) {
@@ -180,12 +200,16 @@
                         rows.push_back(encode_task(p, j.at(p)));
                     if (!j.at(p).crashes.empty())
                         crashes.push_back(encode_crashes(p, j.at(p).crashes));
+                    if (!j.at(p).streak.empty())
+                        streaks.push_back(encode_streak(p, j.at(p).streak));
                 }
             }
         }
         out["tasks"] = std::move(rows);
         if (!crashes.empty())
             out["crashes"] = std::move(crashes);
+        if (!streaks.empty())
+            out["crash_streaks"] = std::move(streaks);
     }
     return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -226,7 +250,9 @@
         }
         j.restore_progress(in.at("started").get<bool>());
         const auto crashes = in.find("crashes");
-        return crashes == in.end() || restore_crashes(j, *crashes);
+        const auto streaks = in.find("crash_streaks");
+        return (crashes == in.end() || restore_crashes(j, *crashes)) &&
+               (streaks == in.end() || restore_streaks(j, *streaks));
     } catch (const json::exception&) {
         return false;
     }
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -34,7 +34,9 @@
 job_scheduler::job_scheduler(scheduler_settings settings, fencing_token token, scheduler_time time,
                              log_handler handler)
     : settings_{settings}, token_{token}, leases_{settings.leases, time.now},
-      log_handler_{std::move(handler)}, config_{std::make_shared<fleet_config>()}
+      log_handler_{std::move(handler)}, config_{std::make_shared<fleet_config>()}, crash_rate_{
+                                                                                       settings.crash_streaks,
+                                                                                       time.now}
 {
 }
 
@@ -70,11 +72,11 @@
     open.state = std::move(j);
     resolve_service(open);
     open.state->for_open_tasks([&](const task_position& p, task& t) {
-        if (needs_isolation(t.crashes))
+        if (must_be_isolated(t))
             isolated_tasks_.insert({id, p});
         if (!t.run)
             return;
-        t.run->suspected = !t.crashes.empty();
+        t.run->suspected = is_suspected(t);
         reserve_capacity(open, p, *t.run);
     });
     plan_needed_.insert(open.service);
@@ -507,7 +509,7 @@
             if (time.now <= over_at)
                 note_silent_target(t.run->target, over_at);
             else {
-                const lost_run lost{{open.state->id(), p}, t.run->number, true};
+                const lost_run lost{{open.state->id(), p}, t.run->number, true, true, {}};
                 note_given_up(open, p, {}, t.run->on_probation);
                 if (t.run->on_probation) {
                     note_unresolved(open, lost, t.run->target, time);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -9,6 +9,7 @@
 #include "jobs/scheduler_events.h"
 #include "jobs/scheduler_io.h"
 #include "jobs/scheduler_settings.h"
+#include "jobs/target_loss.h"
 #include "jobs/target_status.h"
 #include "jobs/work_order.h"
 #include "jobs/write_queue.h"
@@ -174,22 +175,6 @@
         timestamp next_ranking;
     };
     class unsatisfiable_needs;
-    struct lost_run {
-        task_key task;
-        run_number run = 0;
-        bool restored = false; ///< Whether an earlier leader has started it, at an unknown time.
-    };
-    struct kept_target {
-        target_id target;
-        timestamp since;
-    };
-    /// A target whose lease ran out in silence. It has crashed, or it may answer again.
-    struct lost_target {
-        std::string host;
-        target_incarnation incarnation = 0;
-        timestamp lost_at;
-        std::vector<lost_run> runs; ///< Its runs that were on probation.
-    };
 
     // job_scheduler.cpp
     void log_event(scheduler_event event, const job_id& id, const task_key* task, run_number run,
@@ -317,17 +302,12 @@
     void resolve_given_up(const target_status& t, const target_report& report);
 
     // scheduler_crashes.cpp
-    struct target_loss {
-        std::vector<task_key> lost;      ///< Tasks whose runs have ended.
-        std::vector<task_key> in_flight; ///< Tasks whose starts may have been carried out, or may be later.
-        const char* reason = "";
-        bool is_crash = false; ///< Whether the target was to stay. Its crash may be attributed to a task.
-    };
     /// Discards the lost runs of a target that has ended.
     void lose_runs(target_status& t, const target_loss& loss, scheduler_time time);
-    [[nodiscard]] std::vector<lost_run> runs_on_probation(const std::vector<task_key>& keys);
-    /// Counts a crash for the runs that were on probation. If it is attributable, it is attributed to the
-    /// only one of them, unless the host has crashed before without a cause.
+    /// Returns the runs of these tasks that may be the cause of a crash.
+    [[nodiscard]] std::vector<lost_run> possible_causes(const std::vector<task_key>& keys);
+    /// Counts a crash for the runs. If it is attributable, it is attributed to the only one of them that was
+    /// on probation, unless the host has crashed before without a cause.
     void record_crash(const target_id& target, const std::string& host, const std::vector<lost_run>& suspects,
                       bool attributable, scheduler_time time);
     void on_history_changed(open_job& open, const lost_run& lost, const target_id& target);
@@ -347,6 +327,10 @@
     void resolve_predecessors(const target_info& successor, scheduler_time time);
     /// Handles that the lost target has crashed if its successor is known already.
     void resolve_if_succeeded(const target_id& id, scheduler_time time);
+    /// Handles that a report lists the task's run, whose probation or series of crashes may be over by that.
+    void check_probation(open_job& open, const task_position& p, timestamp sent_at, timestamp now);
+    [[nodiscard]] bool is_suspected(const task& t) const;
+    [[nodiscard]] bool must_be_isolated(const task& t) const;
     /// Handles that the run has been at work long enough not to be the cause of a later crash.
     void pass_probation(open_job& open, const task_position& p);
     void clear_crash_history(open_job& open, task& t);
@@ -448,6 +432,7 @@
     std::map<team_id, resources> team_use_;
     std::map<job_id, open_job*> jobs_with_runs_;
     write_queue unstored_;
+    crash_rate crash_rate_;
     std::map<target_id, lost_target> lost_targets_;
     /// Targets that were lost under earlier leaders and whose successors have not been looked for yet.
     std::set<target_id> restored_losses_;
--- a/src/plugins/jobs/scheduler_crashes.cpp
+++ b/src/plugins/jobs/scheduler_crashes.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
-std::string to_text(const crash_history& h)
+std::string to_text(const task& t)
 {
-    return "crashes " + std::to_string(h.crashes) + ", attributed " + std::to_string(h.attributed) +
-           ", unresolved " + std::to_string(h.unresolved);
+    return "crashes " + std::to_string(t.crashes.crashes) + ", attributed " +
+           std::to_string(t.crashes.attributed) + ", unresolved " + std::to_string(t.crashes.unresolved) +
+           ", in a row " + std::to_string(t.streak.crashes);
 }
 
 } // namespace
@@ -21,7 +22,7 @@
     concerned.insert(concerned.end(), loss.in_flight.begin(), loss.in_flight.end());
     std::vector<lost_run> suspects;
     if (loss.is_crash && !concerned.empty()) {
-        suspects = runs_on_probation(concerned);
+        suspects = possible_causes(concerned);
         record_crash(t.info.id, t.info.host, suspects, true, time);
     }
     for (const task_key& key : loss.lost) {
@@ -31,7 +32,7 @@
     give_up_jobs(suspects, time);
 }
 
-std::vector<job_scheduler::lost_run> job_scheduler::runs_on_probation(const std::vector<task_key>& keys)
+std::vector<lost_run> job_scheduler::possible_causes(const std::vector<task_key>& keys)
 {
     std::vector<lost_run> out;
     for (const task_key& key : keys) {
@@ -39,8 +40,13 @@
         if (open == nullptr)
             continue;
         const std::optional<task_run>& run = open->state->at(key.position).run;
-        if (run && run->on_probation && run->phase != run_phase::planned)
-            out.push_back({key, run->number, run->ordered_at == timestamp{}});
+        if (!run || run->phase == run_phase::planned)
+            continue;
+        const bool restored = run->ordered_at == timestamp{};
+        const timestamp since = restored ? run->answered_at : run->ordered_at;
+        // A run that is listed may have been at work until shortly before the next report was due.
+        const duration at_work = run->listed_at > since ? run->listed_at - since : duration{0};
+        out.push_back({key, run->number, restored, run->on_probation, at_work + settings_.observation_wait});
     }
     return out;
 }
@@ -51,39 +57,48 @@
 {
     const auto earlier = crashed_hosts_.find(host);
     const bool distrusted = earlier != crashed_hosts_.end() && time.now < earlier->second;
-    const bool attributed = attributable && suspects.size() == 1 && !suspects.front().restored && !distrusted;
+    const auto on_probation = [](const lost_run& it) { return it.on_probation; };
+    const auto only = std::find_if(suspects.begin(), suspects.end(), on_probation);
+    const std::ptrdiff_t fresh = std::count_if(suspects.begin(), suspects.end(), on_probation);
+    const bool attributed = attributable && fresh == 1 && !only->restored && !distrusted;
     log_event(scheduler_event::target_crashed, {}, nullptr, 0, target,
-              std::to_string(suspects.size()) + (attributed ? " suspect, attributed" : " suspects"));
+              std::to_string(fresh) + (attributed ? " suspect, attributed" : " suspects"));
+    crash_rate_.note_crash();
     if (!host.empty())
         crashed_hosts_[host] = time.now + settings_.crashes.host_distrust;
     for (const lost_run& it : suspects) {
         open_job& open = *find_open(it.task.job);
-        crash_history& history = open.state->at(it.task.position).crashes;
-        ++history.crashes;
-        if (attributed)
-            ++history.attributed;
+        task& t = open.state->at(it.task.position);
+        extend_streak(t.streak, it.at_work, crash_rate_, settings_.crash_streaks);
+        if (it.on_probation)
+            ++t.crashes.crashes;
+        if (it.on_probation && attributed)
+            ++t.crashes.attributed;
         on_history_changed(open, it, target);
     }
 }
 
 void job_scheduler::on_history_changed(open_job& open, const lost_run& lost, const target_id& target)
 {
-    const crash_history& history = open.state->at(lost.task.position).crashes;
-    if (needs_isolation(history))
+    const task& t = open.state->at(lost.task.position);
+    if (must_be_isolated(t))
         isolated_tasks_.insert(lost.task);
     mark_changed(*open.state);
-    log_event(scheduler_event::task_suspected, lost.task.job, &lost.task, lost.run, target, to_text(history));
+    if (is_suspected(t))
+        log_event(scheduler_event::task_suspected, lost.task.job, &lost.task, lost.run, target, to_text(t));
 }
 
 void job_scheduler::give_up_jobs(const std::vector<lost_run>& suspects, scheduler_time time)
 {
     for (const lost_run& it : suspects) {
         open_job* open = find_open(it.task.job);
-        if (open == nullptr || is_final(open->state->state()) || open->state->cancelled() ||
-            !exceeds_limit(open->state->at(it.task.position).crashes, settings_.crashes))
+        if (open == nullptr || is_final(open->state->state()) || open->state->cancelled())
+            continue;
+        const task& t = open->state->at(it.task.position);
+        if (!exceeds_limit(t.crashes, settings_.crashes) &&
+            !exceeds_limit(t.streak, t.crashes.attributed, settings_.crash_streaks))
             continue;
-        log_event(scheduler_event::job_given_up, it.task.job, &it.task, it.run, {},
-                  to_text(open->state->at(it.task.position).crashes));
+        log_event(scheduler_event::job_given_up, it.task.job, &it.task, it.run, {}, to_text(t));
         open->state->give_up();
         mark_changed(*open->state);
         after_change(*open, time);
@@ -96,7 +111,7 @@
     task& t = open.state->at(lost.task.position);
     ++t.crashes.unresolved;
     on_history_changed(open, lost, target);
-    if (needs_isolation(t.crashes))
+    if (must_be_isolated(t))
         t.not_before = time.now + (open.state->step(lost.task.position.step).permanent
                                        ? settings_.crashes.permanent_resolution_wait
                                        : settings_.crashes.resolution_wait);
@@ -128,15 +143,16 @@
         resolve_lost_target(id, successor->second.info.incarnation, time);
 }
 
-std::vector<job_scheduler::lost_run> job_scheduler::note_lost_target(const target_status& t,
-                                                                     scheduler_time time)
+std::vector<lost_run> job_scheduler::note_lost_target(const target_status& t, scheduler_time time)
 {
     if (!t.expected_to_stay())
         return {};
     lost_target lost{t.info.host, t.info.incarnation, time.now,
-                     runs_on_probation({t.runs.begin(), t.runs.end()})};
-    for (const lost_run& it : lost.runs)
-        note_unresolved(*find_open(it.task.job), it, t.info.id, time);
+                     possible_causes({t.runs.begin(), t.runs.end()})};
+    for (const lost_run& it : lost.runs) {
+        if (it.on_probation)
+            note_unresolved(*find_open(it.task.job), it, t.info.id, time);
+    }
     std::vector<lost_run> runs = lost.runs;
     if (!runs.empty())
         lost_targets_[t.info.id] = std::move(lost);
@@ -162,9 +178,11 @@
         // A run that was at work since then has cleared the task.
         if (t.done || t.passed_probation > run.run)
             continue;
-        if (t.crashes.unresolved > 0 && --t.crashes.unresolved == 0)
-            t.not_before = std::min(t.not_before, time.now);
-        mark_changed(*open->state);
+        if (run.on_probation) {
+            if (t.crashes.unresolved > 0 && --t.crashes.unresolved == 0)
+                t.not_before = std::min(t.not_before, time.now);
+            mark_changed(*open->state);
+        }
         suspects.push_back(run);
     }
     if (!crashed)
@@ -186,6 +204,33 @@
         resolve_lost_target(id, successor.incarnation, time);
 }
 
+bool job_scheduler::is_suspected(const task& t) const
+{
+    return !t.crashes.empty() || needs_separation(t.streak, settings_.crash_streaks);
+}
+
+bool job_scheduler::must_be_isolated(const task& t) const
+{
+    return needs_isolation(t.crashes) || needs_isolation(t.streak, settings_.crash_streaks);
+}
+
+void job_scheduler::check_probation(open_job& open, const task_position& p, timestamp sent_at, timestamp now)
+{
+    task& t = open.state->at(p);
+    t.run->listed_at = now;
+    if (t.run->phase != run_phase::running || t.run->answered_at == timestamp{})
+        return;
+    const duration at_work = sent_at - t.run->answered_at;
+    const bool separated = needs_separation(t.streak, settings_.crash_streaks);
+    if (!t.streak.empty() && at_work >= t.streak.survival_time()) {
+        t.streak = {};
+        mark_changed(*open.state);
+        plan_needed_.insert(open.service);
+    }
+    if (t.run->on_probation && at_work >= settings_.crashes.probation && (!separated || t.streak.empty()))
+        pass_probation(open, p);
+}
+
 void job_scheduler::pass_probation(open_job& open, const task_position& p)
 {
     task& t = open.state->at(p);
@@ -233,7 +278,7 @@
     if (open == nullptr || is_final(open->state->state()) || open->state->cancelled())
         return false;
     const task& t = open->state->at(key.position);
-    return !t.done && needs_isolation(t.crashes);
+    return !t.done && must_be_isolated(t);
 }
 
 bool job_scheduler::keeps_place(const target_status& t, const task_key& key, timestamp now)
@@ -337,6 +382,10 @@
 
 void job_scheduler::forget_old_crashes(timestamp now)
 {
+    crash_rate_.advance(
+        now, static_cast<std::size_t>(std::count_if(targets_.begin(), targets_.end(), [](const auto& entry) {
+            return !entry.second.runs.empty();
+        })));
     std::erase_if(crashed_hosts_, [now](const auto& entry) { return now >= entry.second; });
     std::erase_if(lost_targets_, [this, now](const auto& entry) {
         if (now - entry.second.lost_at <= settings_.crashes.resolution_time)
--- a/src/plugins/jobs/scheduler_given_up.cpp
+++ b/src/plugins/jobs/scheduler_given_up.cpp
@@ -13,7 +13,7 @@
         lost_target lost{target.host, target.incarnation, now, {}};
         for (const auto& [run, known] : target.runs) {
             if (known.suspect)
-                lost.runs.push_back({run.first, run.second, true});
+                lost.runs.push_back({run.first, run.second, true, true, {}});
         }
         if (lost.runs.empty())
             continue;
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -125,15 +125,15 @@
     for (std::uint32_t n = 0; n < step.tasks; ++n) {
         const task_position p{occurrence, number, n};
         const task& t = open.state->at(p);
-        if (t.done || t.run || time.now < t.not_before || needs_isolation(t.crashes))
+        if (t.done || t.run || time.now < t.not_before || must_be_isolated(t))
             continue;
-        if (!t.crashes.empty() && unsatisfiable.covers_suspected(need))
+        if (is_suspected(t) && unsatisfiable.covers_suspected(need))
             continue;
         if (!within_cap(open, step))
             return;
         target_status* target = choose_target(placement_of(open, p), pool, time.now);
         if (target == nullptr) {
-            if (!t.crashes.empty()) {
+            if (is_suspected(t)) {
                 unsatisfiable.add_suspected(need);
                 continue; // Other tasks have fewer conditions.
             }
@@ -154,7 +154,7 @@
     request.step_runs = &open.step_runs[p.step];
     request.avoided_target = t.avoided_target;
     request.preferred_rack = rack_of_step(open, p.step);
-    request.suspected = !t.crashes.empty();
+    request.suspected = is_suspected(t);
     return request;
 }
 
@@ -190,7 +190,7 @@
     run.target = target.info.id;
     run.incarnation = target.info.incarnation;
     run.ordered_at = time.now;
-    run.suspected = !t.crashes.empty();
+    run.suspected = is_suspected(t);
     t.run = std::move(run);
     reserve_capacity(open, p, *t.run);
     mark_changed(j);
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -336,8 +336,10 @@
     }
     if (!end.checkpoint.empty())
         it.checkpoint = end.checkpoint;
-    if (end.how == run_end::done || end.how == run_end::failed)
+    if (end.how == run_end::done || end.how == run_end::failed) {
         clear_crash_history(open, it);
+        it.streak = {};
+    }
     if (end.how == run_end::done && !permanent) {
         j.finish_task(end.task.position);
         t.failures_in_a_row = 0;
@@ -415,10 +417,7 @@
         if (it->run->phase == run_phase::stopping && !it->run->order_pending &&
             it->run->answered_at != timestamp{} && sent_at - it->run->answered_at > settings_.stop_retry)
             send_stop({open->state->id(), r.task.position}, *it->run, time.now);
-        if (it->run->phase == run_phase::running && it->run->on_probation &&
-            it->run->answered_at != timestamp{} &&
-            sent_at - it->run->answered_at >= settings_.crashes.probation)
-            pass_probation(*open, r.task.position);
+        check_probation(*open, r.task.position, sent_at, time.now);
         if (it->run->phase == run_phase::unconfirmed || it->run->phase == run_phase::ordered) {
             it->run->phase = run_phase::running;
             it->run->answered_at = sent_at;
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -2,6 +2,7 @@
 
 #include "core/time_types.h"
 #include "jobs/crash_history.h"
+#include "jobs/crash_streak.h"
 #include "jobs/lease_policy.h"
 #include "jobs/straggler.h"
 
@@ -54,6 +55,7 @@
     duration run_check_interval{std::chrono::milliseconds{100}};
     straggler_settings stragglers;
     crash_settings crashes;
+    crash_streak_settings crash_streaks;
     /// Maximum number of attempts of a task whose queue is not configured, if its record does not tell.
     std::uint32_t default_attempts = 2;
     /// Tail latency, as a fraction of the objective, above which backfill tasks on the target are slowed
