Limit the sum of the paces of a target's backfill tasks

backfill_pace limits the sum that the target reports and divides it among the runs. It repeats an order until the report agrees, paces a run with the answer to its start, and takes its limit from the first report. A pause is tried to be lifted at growing intervals. Starts on a target with a limit are 0.6 s apart.

Tests play a target whose latency depends on the paces. On scratch copies, each of these taken out turned a test red: the order at the start, the repetition, and the limit from the first report.

--- a/src/plugins/jobs/job.h
+++ b/src/plugins/jobs/job.h
@@ -44,7 +44,6 @@
     std::int64_t confirmed_clock_ms = 0;  ///< The target's clock when it confirmed the start.
     int unanswered_stops = 0;             ///< Stops sent since the target confirmed an order.
     std::optional<order_errc> stop_error; ///< Why the latest stop that was answered had no effect.
-    int pace_percent = 100;
     /// Whether a report of `incarnation` has listed it. Otherwise, it may also belong to a later one.
     bool listed = false;
     bool on_known_target = false; ///< Whether the run is counted in the status of its target.
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -468,6 +468,7 @@
         if (t.listed || !t.runs.empty() || !t.unstored.empty() || t.observing || time.now <= t.lease_until)
             return false;
         targets_by_service_[t.info.service].erase(entry.first);
+        paces_.erase(entry.first);
         return true;
     });
     if (time.now >= next_run_check_) {
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -355,6 +355,14 @@
                                                     timestamp now) const;
     void forget_old_crashes(timestamp now);
 
+    // scheduler_pace.cpp
+    /// Sets the pace of backfill tasks by the tail latencies of the other tasks on the target.
+    void adjust_pace(target_status& t, const target_report& report, timestamp now);
+    /// Slows a backfill task down that has just started, if the others leave less than its full pace.
+    void pace_started_run(target_status& t, const open_job& open, const task_key& key, run_number run,
+                          timestamp now);
+    void send_pace(const target_status& t, const paced_run& order);
+
     // scheduler_stragglers.cpp
     /// Moves the task elsewhere if its run, which the target listed when its clock showed `clock_ms`, was
     /// stalled by then. A target that sends no report is never held to have stalled a run.
@@ -406,8 +414,6 @@
     void on_other_instance(target_status& t, scheduler_time time);
     /// Handles an observation that failed.
     void on_no_report(target_status& t, order_errc ec, scheduler_time time);
-    /// Sets the pace of backfill tasks by the tail latencies of the other tasks on the target.
-    void adjust_pace(target_status& t, const target_report& report);
     void set_clock(target_status& t, std::int64_t clock_ms, timestamp now);
     /// Removes ends that the store has by now from `unstored`, so that they can be acknowledged to the
     /// target.
@@ -427,6 +433,7 @@
     std::map<service_id, service_queue> queues_;
     std::vector<open_job*> changed_jobs_;
     std::map<target_id, target_status> targets_;
+    std::map<target_id, backfill_pace> paces_; ///< Of targets with backfill runs or a limit of their paces.
     std::map<service_id, std::map<target_id, target_status*>> targets_by_service_;
     std::set<target_id> with_unstored_ends_; ///< Targets whose ends the store may not have.
     std::map<team_id, resources> team_use_;
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -8,6 +8,7 @@
 
 // The penalties rank kinds of targets: each is larger than the sum of the fill level, which is at most 1, and
 // all smaller penalties.
+constexpr double pace_limited_penalty = 3.0;
 constexpr double wrong_rack_penalty = 10.0;
 constexpr double concentrated_penalty = 30.0;
 constexpr double maintained_soon_penalty = 50.0;
@@ -30,7 +31,7 @@
 bool may_run(const target_status& t, const placement_request& request, timestamp now)
 {
     return accepts_work(t, now) && has_label(t, request.step->required_label) && has_place(t, request) &&
-           separated(t, request);
+           separated(t, request) && (!request.step->backfill || now >= t.next_backfill_start);
 }
 
 double cost(const target_status& t, const placement_request& request)
@@ -48,6 +49,8 @@
         if (it != request.step_runs->end() && it->second >= step.max_unavailable)
             result += concentrated_penalty;
     }
+    if (step.backfill && t.pace_limited)
+        result += pace_limited_penalty;
     if (step.permanent && t.maintained_soon)
         result += maintained_soon_penalty;
     if (!request.avoided_target.empty() && t.info.id == request.avoided_target)
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -138,7 +138,7 @@
                 continue; // Other tasks have fewer conditions.
             }
             // If the step has no other conditions, the only cause is a lack of free capacity.
-            if (step.required_label.empty() && step.max_per_target == 0)
+            if (step.required_label.empty() && step.max_per_target == 0 && !step.backfill)
                 unsatisfiable.add(need);
             return;
         }
@@ -195,6 +195,9 @@
     reserve_capacity(open, p, *t.run);
     mark_changed(j);
     t.run->planned_change = j.last_change;
+    // Each start begins at full pace, so several in a row would keep the latencies high.
+    if (j.step(p.step).backfill && target.pace_limited)
+        target.next_backfill_start = time.now + settings_.pace.start_interval;
     const task_key key{j.id(), p};
     log_event(scheduler_event::run_planned, j.id(), &key, t.last_run, target.info.id, {},
               time.unix_ms - j.record().accepted_ms);
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -66,6 +66,8 @@
         ordered->confirmed_clock_ms = answer->clock_ms;
         if (ordered->phase == run_phase::ordered)
             ordered->phase = run_phase::running;
+        if (target_status* started_on = find_target(target))
+            pace_started_run(*started_on, open, key, run, time.now);
         return;
     }
     target_status* t = find_target(target);
@@ -226,7 +228,7 @@
         withhold_unreadable_end(*t, *report);
     reconcile_runs(*t, *report, sent_at, time);
     resolve_given_up(*t, *report);
-    adjust_pace(*t, *report);
+    adjust_pace(*t, *report, time.now);
     drop_stored_ends(*t);
     t->next_observation =
         time.now + (t->unstored.empty() && t->listed_all ? settings_.observation_gap : settings_.store_grace);
@@ -479,45 +481,6 @@
     }
 }
 
-void job_scheduler::adjust_pace(target_status& t, const target_report& report)
-{
-    bool slow_down = false;
-    bool has_latency_task = false;
-    bool speed_up = true;
-    for (const listed_run& r : report.running) {
-        const open_job* open = find_open(r.task.job);
-        if (open == nullptr || !open->state->contains(r.task.position))
-            continue;
-        const double objective =
-            static_cast<double>(to_ms(open->state->step(r.task.position.step).latency_objective));
-        if (objective <= 0.0)
-            continue;
-        has_latency_task = true;
-        slow_down = slow_down || r.load > settings_.pace_down_above * objective;
-        speed_up = speed_up && r.load < settings_.pace_up_below * objective;
-    }
-    for (const listed_run& r : report.running) {
-        open_job* open = find_open(r.task.job);
-        if (open == nullptr || !open->state->contains(r.task.position))
-            continue;
-        task& it = open->state->at(r.task.position);
-        if (!open->state->step(r.task.position.step).backfill || !it.run || it.run->number != r.run ||
-            it.run->phase != run_phase::running)
-            continue;
-        int percent = it.run->pace_percent;
-        if (slow_down)
-            percent = percent / 2 < settings_.lowest_pace ? 0 : percent / 2;
-        else if (!has_latency_task)
-            percent = full_pace;
-        else if (speed_up)
-            percent = std::min(full_pace, percent + settings_.pace_step);
-        if (percent == it.run->pace_percent)
-            continue;
-        it.run->pace_percent = percent;
-        commands_.emplace_back(pace_command{ref_of(t.info.id), r.task, r.run, percent});
-    }
-}
-
 void job_scheduler::drop_stored_ends(target_status& t)
 {
     while (!t.unstored.empty()) {
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_types.h"
+#include "jobs/backfill_pace.h"
 #include "jobs/crash_history.h"
 #include "jobs/crash_streak.h"
 #include "jobs/lease_policy.h"
@@ -58,13 +59,7 @@
     crash_streak_settings crash_streaks;
     /// Maximum number of attempts of a task whose queue is not configured, if its record does not tell.
     std::uint32_t default_attempts = 2;
-    /// Tail latency, as a fraction of the objective, above which backfill tasks on the target are slowed
-    /// down.
-    double pace_down_above = 0.85;
-    /// Tail latency, as a fraction of the objective, below which backfill tasks are sped up again.
-    double pace_up_below = 0.6;
-    int pace_step = 15;   ///< Percentage points by which backfill tasks are sped up at a time.
-    int lowest_pace = 10; ///< Pace in percent; backfill tasks are paused instead of running at a lower one.
+    backfill_pace_settings pace;
 };
 
 } // namespace mjm
--- a/src/plugins/jobs/scheduler_stragglers.cpp
+++ b/src/plugins/jobs/scheduler_stragglers.cpp
@@ -85,6 +85,9 @@
     duration wait = std::min(settings_.observation_wait, leases_.longest_observation(now));
     if (t.suspected_runs > 0)
         wait = std::min(wait, settings_.crashes.probation / 2);
+    const auto paces = paces_.find(t.info.id);
+    if (paces != paces_.end())
+        wait = std::min(wait, paces->second.next_report().value_or(wait));
     if (!t.unknown_runs.empty())
         wait = std::min(wait, settings_.stop_retry);
     for (const task_key& key : t.runs) {
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -77,7 +77,9 @@
 
     int failures_in_a_row = 0; ///< Failed runs since the last success; successive ones of a job count once.
     job_id last_failed_job;
-    timestamp avoid_until;   ///< No task is placed on the target before this time.
+    timestamp avoid_until;         ///< No task is placed on the target before this time.
+    bool pace_limited = false;     ///< Whether backfill tasks on it may not all work at full pace.
+    timestamp next_backfill_start; ///< No backfill task is placed on the target before this time.
     timestamp suspect_until; ///< Until then, a declared run time suffices to tell that a run is stalled.
 
     /// Whether the target is to stay, so that its end is a crash.
--- a/src/plugins/jobs/tests/scheduler_fixture.cpp
+++ b/src/plugins/jobs/tests/scheduler_fixture.cpp
@@ -106,6 +106,8 @@
             starts_.push_back(*start);
         else if (const stop_command* stop = std::get_if<stop_command>(&c))
             stops_.push_back(*stop);
+        else if (const pace_command* pace = std::get_if<pace_command>(&c))
+            paces_.push_back(*pace);
     }
 }
 
@@ -128,6 +130,12 @@
     return std::exchange(stops_, {});
 }
 
+std::vector<pace_command> scheduler_fixture::take_paces()
+{
+    sort_commands(now());
+    return std::exchange(paces_, {});
+}
+
 void scheduler_fixture::confirm(const start_command& start)
 {
     scheduler.on_start_answer(start.target.id, start.order.task, start.order.run, order_answer{clock_ms()},
--- a/src/plugins/jobs/tests/scheduler_fixture.h
+++ b/src/plugins/jobs/tests/scheduler_fixture.h
@@ -42,6 +42,7 @@
     /// Returns the starts that the scheduler sends at the given time.
     std::vector<start_command> take_starts(scheduler_time time);
     std::vector<stop_command> take_stops();
+    std::vector<pace_command> take_paces();
     void confirm(const start_command& start);
     /// Reports the runs and ends that the target lists.
     void report(const target_id& target, const std::vector<listed_run>& running,
@@ -64,6 +65,7 @@
 
     std::vector<start_command> starts_;
     std::vector<stop_command> stops_;
+    std::vector<pace_command> paces_;
 };
 
 /// Returns the entry with which a target lists a running run.
