Store the runs of a job that has ended until they are over

A final state was stored without tasks, and the next leader restored such a job by its state alone.

The stored progress of a final job keeps the runs that are not over.

--- a/src/plugins/jobs/job_codec.cpp
+++ b/src/plugins/jobs/job_codec.cpp
@@ -187,7 +187,9 @@
 std::string encode_progress(const job& j)
 {
     json out{{"state", name_of(j.state())}, {"started", j.started()}};
-    if (!is_final(j.state())) {
+    // A next leader has to stop the runs that are left, and to count them until they are over.
+    const bool ended = is_final(j.state());
+    if (!ended || j.active_runs() > 0) {
         json rows = json::array();
         json crashes = json::array();
         json streaks = json::array();
@@ -196,11 +198,11 @@
             for (std::uint32_t s = 0; s < spec.steps.size(); ++s) {
                 for (std::uint32_t n = 0; n < spec.steps[s].tasks; ++n) {
                     const task_position p{k, s, n};
-                    if (j.at(p).last_run != 0)
+                    if (ended ? j.at(p).run.has_value() : j.at(p).last_run != 0)
                         rows.push_back(encode_task(p, j.at(p)));
-                    if (!j.at(p).crashes.empty())
+                    if (!ended && !j.at(p).crashes.empty())
                         crashes.push_back(encode_crashes(p, j.at(p).crashes));
-                    if (!j.at(p).streak.empty())
+                    if (!ended && !j.at(p).streak.empty())
                         streaks.push_back(encode_streak(p, j.at(p).streak));
                 }
             }
@@ -221,10 +223,11 @@
         const std::optional<job_state> state = parse_enum<job_state>(in.at("state").get<std::string>());
         if (!state)
             return false;
-        if (is_final(*state)) {
+        const bool ended = is_final(*state);
+        if (ended)
             j.restore_final(*state);
+        if (ended && !in.contains("tasks"))
             return true;
-        }
         for (const json& row : in.at("tasks")) {
             const task_position p{row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint32_t>(),
                                   row.at(2).get<std::uint32_t>()};
@@ -249,6 +252,8 @@
             }
         }
         j.restore_progress(in.at("started").get<bool>());
+        if (ended)
+            j.restore_final(*state);
         const auto crashes = in.find("crashes");
         const auto streaks = in.find("crash_streaks");
         return (crashes == in.end() || restore_crashes(j, *crashes)) &&
@@ -258,6 +263,17 @@
     }
 }
 
+std::optional<job_state> decode_settled_state(std::string_view text)
+{
+    try {
+        const json in = json::parse(text);
+        const std::optional<job_state> state = parse_enum<job_state>(in.at("state").get<std::string>());
+        return state && is_final(*state) && !in.contains("tasks") ? state : std::nullopt;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::optional<job_state> decode_progress_state(std::string_view text)
 {
     try {
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -242,8 +242,8 @@
         return;
     const auto progress = stored_progress_.find(*id);
     const std::optional<job_state> state =
-        progress == stored_progress_.end() ? std::nullopt : decode_progress_state(progress->second);
-    if (state && is_final(*state)) {
+        progress == stored_progress_.end() ? std::nullopt : decode_settled_state(progress->second);
+    if (state) {
         scheduler_.restore_finished(*id, *state);
         return;
     }
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -93,29 +93,6 @@
     log_event(scheduler_event::job_added, id, nullptr, 0, {}, "queue " + queue, age);
 }
 
-bool job_scheduler::restore_job(job_record record, std::string_view progress, scheduler_time time)
-{
-    std::unique_ptr<job> j = std::make_unique<job>(std::move(record));
-    const bool readable = restore_progress(*j, progress);
-    const job_id id = j->id();
-    const std::string state{name_of(j->state())};
-    insert_job(std::move(j));
-    log_event(scheduler_event::job_added, id, nullptr, 0, {}, "restored as " + state,
-              time.unix_ms - jobs_.at(id).state->record().accepted_ms);
-    return readable;
-}
-
-void job_scheduler::restore_finished(const job_id& id, job_state state)
-{
-    if (jobs_.contains(id))
-        return;
-    job_record record;
-    record.id = id;
-    open_job& open = jobs_[id];
-    open.state = std::make_unique<job>(std::move(record));
-    open.state->restore_final(state);
-}
-
 void job_scheduler::cancel_job(const job_id& id, scheduler_time time)
 {
     open_job* open = find_open(id);
