--- a/src/plugins/jobs/job.h
+++ b/src/plugins/jobs/job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/crash_history.h"
+#include "jobs/crash_streak.h"
 #include "jobs/job_types.h"
 #include "jobs/target_orders.h"
 
@@ -38,11 +39,11 @@
     std::uint64_t planned_change = 0; ///< Number of the job's change that must be stored before the start.
     timestamp ordered_at;             ///< When the run was planned, or the latest start or stop was sent; the
                                       ///< epoch if an earlier leader has started it.
+    timestamp listed_at;              ///< When a report listed it last; the epoch if none has.
     timestamp answered_at; ///< When the target confirmed the latest order; the epoch if it has not.
     std::int64_t confirmed_clock_ms = 0;  ///< The target's clock when it confirmed the start.
     int unanswered_stops = 0;             ///< Stops sent since the target confirmed an order.
     std::optional<order_errc> stop_error; ///< Why the latest stop that was answered had no effect.
-    int pace_percent = 100;
     /// Whether a report of `incarnation` has listed it. Otherwise, it may also belong to a later one.
     bool listed = false;
     bool on_known_target = false; ///< Whether the run is counted in the status of its target.
@@ -64,6 +65,7 @@
     target_id avoided_target; ///< Target where the task last failed or stalled; avoided by the next run.
     bool moved_as_straggler = false; ///< Whether a stalled run was moved; a task is moved only once.
     crash_history crashes;
+    crash_streak streak;
     run_number passed_probation = 0; ///< Latest run that was at work for the probation time.
 };
 
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -34,7 +34,9 @@
 job_scheduler::job_scheduler(scheduler_settings settings, fencing_token token, scheduler_time time,
                              log_handler handler)
     : settings_{settings}, token_{token}, leases_{settings.leases, time.now},
-      log_handler_{std::move(handler)}, config_{std::make_shared<fleet_config>()}
+      log_handler_{std::move(handler)}, config_{std::make_shared<fleet_config>()}, crash_rate_{
+                                                                                       settings.crash_streaks,
+                                                                                       time.now}
 {
 }
 
@@ -70,11 +72,11 @@
     open.state = std::move(j);
     resolve_service(open);
     open.state->for_open_tasks([&](const task_position& p, task& t) {
-        if (needs_isolation(t.crashes))
+        if (must_be_isolated(t))
             isolated_tasks_.insert({id, p});
         if (!t.run)
             return;
-        t.run->suspected = !t.crashes.empty();
+        t.run->suspected = is_suspected(t);
         reserve_capacity(open, p, *t.run);
     });
     plan_needed_.insert(open.service);
@@ -91,29 +93,6 @@
     log_event(scheduler_event::job_added, id, nullptr, 0, {}, "queue " + queue, age);
 }
 
-bool job_scheduler::restore_job(job_record record, std::string_view progress, scheduler_time time)
-{
-    std::unique_ptr<job> j = std::make_unique<job>(std::move(record));
-    const bool readable = restore_progress(*j, progress);
-    const job_id id = j->id();
-    const std::string state{name_of(j->state())};
-    insert_job(std::move(j));
-    log_event(scheduler_event::job_added, id, nullptr, 0, {}, "restored as " + state,
-              time.unix_ms - jobs_.at(id).state->record().accepted_ms);
-    return readable;
-}
-
-void job_scheduler::restore_finished(const job_id& id, job_state state)
-{
-    if (jobs_.contains(id))
-        return;
-    job_record record;
-    record.id = id;
-    open_job& open = jobs_[id];
-    open.state = std::make_unique<job>(std::move(record));
-    open.state->restore_final(state);
-}
-
 void job_scheduler::cancel_job(const job_id& id, scheduler_time time)
 {
     open_job* open = find_open(id);
@@ -466,6 +445,7 @@
         if (t.listed || !t.runs.empty() || !t.unstored.empty() || t.observing || time.now <= t.lease_until)
             return false;
         targets_by_service_[t.info.service].erase(entry.first);
+        paces_.erase(entry.first);
         return true;
     });
     if (time.now >= next_run_check_) {
@@ -507,7 +487,7 @@
             if (time.now <= over_at)
                 note_silent_target(t.run->target, over_at);
             else {
-                const lost_run lost{{open.state->id(), p}, t.run->number, true};
+                const lost_run lost{{open.state->id(), p}, t.run->number, true, true, {}};
                 note_given_up(open, p, {}, t.run->on_probation);
                 if (t.run->on_probation) {
                     note_unresolved(open, lost, t.run->target, time);
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -125,20 +125,20 @@
     for (std::uint32_t n = 0; n < step.tasks; ++n) {
         const task_position p{occurrence, number, n};
         const task& t = open.state->at(p);
-        if (t.done || t.run || time.now < t.not_before || needs_isolation(t.crashes))
+        if (t.done || t.run || time.now < t.not_before || must_be_isolated(t))
             continue;
-        if (!t.crashes.empty() && unsatisfiable.covers_suspected(need))
+        if (is_suspected(t) && unsatisfiable.covers_suspected(need))
             continue;
         if (!within_cap(open, step))
             return;
         target_status* target = choose_target(placement_of(open, p), pool, time.now);
         if (target == nullptr) {
-            if (!t.crashes.empty()) {
+            if (is_suspected(t)) {
                 unsatisfiable.add_suspected(need);
                 continue; // Other tasks have fewer conditions.
             }
             // If the step has no other conditions, the only cause is a lack of free capacity.
-            if (step.required_label.empty() && step.max_per_target == 0)
+            if (step.required_label.empty() && step.max_per_target == 0 && !step.backfill)
                 unsatisfiable.add(need);
             return;
         }
@@ -154,7 +154,7 @@
     request.step_runs = &open.step_runs[p.step];
     request.avoided_target = t.avoided_target;
     request.preferred_rack = rack_of_step(open, p.step);
-    request.suspected = !t.crashes.empty();
+    request.suspected = is_suspected(t);
     return request;
 }
 
@@ -190,11 +190,14 @@
     run.target = target.info.id;
     run.incarnation = target.info.incarnation;
     run.ordered_at = time.now;
-    run.suspected = !t.crashes.empty();
+    run.suspected = is_suspected(t);
     t.run = std::move(run);
     reserve_capacity(open, p, *t.run);
     mark_changed(j);
     t.run->planned_change = j.last_change;
+    // Each start begins at full pace, so several in a row would keep the latencies high.
+    if (j.step(p.step).backfill && target.pace_limited)
+        target.next_backfill_start = time.now + settings_.pace.start_interval;
     const task_key key{j.id(), p};
     log_event(scheduler_event::run_planned, j.id(), &key, t.last_run, target.info.id, {},
               time.unix_ms - j.record().accepted_ms);
