Bound what the clients of the HTTP server may hold

A crowd with unfinished requests made the server hold one body for each connection, and a crowd that stalls locked out all other clients until its time-outs. connection_admission now keeps the books of a server: its connections, their phases and bytes. Before a request is read, and while a body in chunks grows, the server asks it, and closes the connections that it names: unfinished requests first, then unread answers, then idle ones, each by age, and never one whose request was passed on. A request that doesn't fit even so gets 503.

Also bounded: header fields and parameters (128), the operating system's buffers of a connection, and unread answers. An exception ends a connection and not the network thread.

--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_types.h"
+#include "net/connection_admission.h"
 #include "net/http_message.h"
 
 #include <tl/expected.hpp>
@@ -22,10 +23,17 @@
     std::uint16_t port = 0; ///< 0 picks a free port.
     std::size_t max_body = 1 << 20;
     std::size_t max_header = 16 << 10;
-    std::size_t max_connections = 2000;
-    std::size_t max_pipelined = 16;                    ///< Requests of one connection answered at once.
+    std::size_t max_fields = 128;       ///< Header fields of a request; query parameters alike.
+    std::size_t max_connections = 2000; ///< Beyond it, a new connection displaces another one.
+    std::size_t max_held_bytes =
+        256 << 20;                         ///< Held for all requests and answers; see `connection_admission`.
+    std::size_t receive_buffer = 64 << 10; ///< Of the operating system, for each connection.
+    std::size_t send_buffer = 32 << 10;    ///< The same; holds answers that a client has not read.
+    std::size_t max_pipelined = 16;        ///< Requests of one connection answered at once.
     duration header_timeout{std::chrono::seconds{10}}; ///< For a whole request, against slow clients.
-    duration idle_timeout{std::chrono::seconds{60}};   ///< Between requests.
+    duration idle_timeout{std::chrono::seconds{60}};   ///< Between requests, and to read an answer.
+    /// Called on the I/O thread for each refusal and closure; may be empty.
+    std::function<void(refusal_reason)> on_refusal;
 };
 
 /// HTTP/1.1 server. Malformed, oversized and too slow requests are answered by the server itself with a
--- a/src/libs/net/io_runtime.cpp
+++ b/src/libs/net/io_runtime.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <cstdio>
+#include <exception>
 #include <future>
 #include <optional>
 #include <thread>
@@ -16,6 +18,18 @@
     std::optional<boost::asio::executor_work_guard<boost::asio::io_context::executor_type>> work_{
         context_.get_executor()};
     std::thread thread_;
+
+    /// A failure of one callback, such as one to allocate memory, doesn't end the thread.
+    void run()
+    {
+        while (!context_.stopped()) {
+            try {
+                context_.run();
+            } catch (const std::exception& e) {
+                std::fprintf(stderr, "{\"event\":\"network_callback_failed\",\"detail\":\"%s\"}\n", e.what());
+            }
+        }
+    }
 };
 
 io_runtime::io_runtime() : impl_{std::make_unique<impl>()} {}
@@ -32,7 +46,7 @@
 void io_runtime::start()
 {
     if (!impl_->thread_.joinable())
-        impl_->thread_ = std::thread{[this] { impl_->context_.run(); }};
+        impl_->thread_ = std::thread{[this] { impl_->run(); }};
 }
 
 void io_runtime::settle()
