Listen also where the sizes of socket buffers can't be set

The sizes bound what a connection holds in the operating system. A system that refuses them must not keep the server from listening, so it then uses its own sizes.

--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -559,19 +559,17 @@
     acceptor_.open(endpoint.protocol(), ec);
     if (!ec)
         acceptor_.set_option(tcp::acceptor::reuse_address{true}, ec);
-    // Accepted sockets inherit it.
-    if (!ec)
-        acceptor_.set_option(
-            asio::socket_base::receive_buffer_size{static_cast<int>(settings_.receive_buffer)}, ec);
-    if (!ec)
-        acceptor_.set_option(asio::socket_base::send_buffer_size{static_cast<int>(settings_.send_buffer)},
-                             ec);
+    // Accepted sockets inherit these sizes; if they can't be set, those of the operating system hold.
+    error_code ignored;
+    acceptor_.set_option(asio::socket_base::receive_buffer_size{static_cast<int>(settings_.receive_buffer)},
+                         ignored);
+    acceptor_.set_option(asio::socket_base::send_buffer_size{static_cast<int>(settings_.send_buffer)},
+                         ignored);
     if (!ec)
         acceptor_.bind(endpoint, ec);
     if (!ec)
         acceptor_.listen(asio::socket_base::max_listen_connections, ec);
     if (ec) {
-        error_code ignored;
         acceptor_.close(ignored);
         if (ec == asio::error::address_in_use)
             return tl::unexpected{listen_errc::address_in_use};
