--- a/src/libs/net/http_exchange.cpp
+++ b/src/libs/net/http_exchange.cpp
@@ -47,7 +47,7 @@
 
 std::shared_ptr<answer_slot> make_error_slot(const request_error& e)
 {
-    const std::shared_ptr<answer_slot> slot = std::make_shared<answer_slot>();
+    std::shared_ptr<answer_slot> slot = std::make_shared<answer_slot>();
     slot->response = error_response(e);
     slot->close = true;
     slot->ready = true;
@@ -56,7 +56,7 @@
 
 std::shared_ptr<answer_slot> make_continue_slot()
 {
-    const std::shared_ptr<answer_slot> slot = std::make_shared<answer_slot>();
+    std::shared_ptr<answer_slot> slot = std::make_shared<answer_slot>();
     slot->interim = true;
     slot->ready = true;
     slot->head = "HTTP/1.1 100 Continue\r\n\r\n";
