Start nothing in availability zones that the operator evacuates

The platform's operator can request that nothing more be sent to the targets of a zone. The request was not read, so a leader went on starting tasks there.

Every entry host now follows the requests with the configuration, so a next leader knows them. The leader places nothing on targets of these zones, withdraws starts that are planned or wait to be sent, and starts nothing once its view of the requests is older than evacuation_time_ms less 0.5 s. What runs in the zone goes on. Hosts of the zone are neither capacity of their pools nor moved for work; when the zone is given back, they count as idle one after the other. Jobs that only such a zone could run are logged and counted.

job_leader::set_waves becomes set_requests, which carries both kinds of requests. An existing test of host orders gets an initializer for the new member host_info::zone; its checks are unchanged.

--- a/src/plugins/jobs/fleet_config.h
+++ b/src/plugins/jobs/fleet_config.h
@@ -62,4 +62,10 @@
     std::uint32_t max_down = 1; ///< Largest number of the wave's hosts that may be down at a time.
 };
 
+/// What the operator requests beside the configuration.
+struct operator_requests {
+    std::map<std::string, maintenance_wave> waves; ///< By name.
+    std::set<zone_id> evacuated_zones;             ///< Nothing is started on targets in these zones.
+};
+
 } // namespace mjm
--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -231,8 +231,10 @@
     std::map<service_id, pool_state> pools;
     std::map<service_id, std::vector<std::pair<double, std::string>>> busy; // load and host
     std::map<service_id, std::vector<resources>> capacities;
-    for (const auto& [id, h] : hosts_)
-        capacities[h.pool].push_back(h.capacity);
+    for (const auto& [id, h] : hosts_) {
+        if (!is_evacuated(h))
+            capacities[h.pool].push_back(h.capacity);
+    }
     for (const auto& [id, service] : config_->services) {
         pool_state& p = pools[id];
         p.service = id;
@@ -248,7 +250,7 @@
         const bool moving =
             pending != pending_orders_.end() && pending->second.order.kind == host_order_kind::move;
         const auto pool = pools.find(moving ? pending->second.order.pool : h.pool);
-        if (pool == pools.end())
+        if (pool == pools.end() || is_evacuated(h))
             continue;
         ++pool->second.hosts;
         if (pending != pending_orders_.end() || h.state != host_state::up || held_hosts_.contains(id) ||
@@ -276,20 +278,42 @@
     return out;
 }
 
-void host_manager::choose_moves()
+bool host_manager::is_evacuated(const host_info& host) const
+{
+    const std::set<zone_id>& zones = scheduler_.evacuation().zones;
+    if (zones.empty())
+        return false;
+    if (!host.zone.empty())
+        return zones.contains(host.zone);
+    const auto t = scheduler_.targets().find(target_of(host.id));
+    return t != scheduler_.targets().end() && t->second.evacuated;
+}
+
+void host_manager::update_idle_hosts()
 {
     const timestamp now = time_.now();
+    std::int64_t returned = 0;
     for (const auto& [id, h] : hosts_) {
-        const target_id target = target_of(id);
-        const auto t = scheduler_.targets().find(target);
+        if (is_evacuated(h)) {
+            idle_since_.erase(id);
+            evacuated_hosts_.insert(id);
+            continue;
+        }
+        const bool returns = evacuated_hosts_.erase(id) > 0;
+        const auto t = scheduler_.targets().find(target_of(id));
         const bool idle = t != scheduler_.targets().end() && t->second.settled() &&
                           t->second.info.state == target_state::ready && t->second.reachable &&
                           t->second.synced;
         if (idle)
-            idle_since_.try_emplace(id, now);
+            idle_since_.try_emplace(id, returns ? now + settings_.return_interval * returned++ : now);
         else
             idle_since_.erase(id);
     }
+}
+
+void host_manager::choose_moves()
+{
+    update_idle_hosts();
     choose_replacements();
     const std::vector<pool_state> pools = pool_states();
     log_pools(pools);
@@ -307,7 +331,7 @@
         const auto t = scheduler_.targets().find(target_of(id));
         if (t == scheduler_.targets().end() || !t->second.retired() || !t->second.settled() ||
             h.state != host_state::up || h.pool == standby->first || pending_orders_.contains(id) ||
-            held_hosts_.contains(id))
+            held_hosts_.contains(id) || is_evacuated(h))
             continue;
         choose_move(id, h.pool, standby->first);
     }
@@ -407,6 +431,9 @@
         if (host == hosts_.end() || host->second.state != host_state::up || !lease_valid() ||
             !journal_.is_stored(id, pending.order))
             continue;
+        // A host that can take no work is not moved for it.
+        if (pending.order.kind == host_order_kind::move && is_evacuated(host->second))
+            continue;
         // If the host has a new target, the next planning round stores the order with it before it is sent.
         if (pending.order.target == target_of(id) && can_take_down(host->second, pending))
             send_order(id, pending);
--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -45,6 +45,9 @@
     /// Entries of targets that have lapsed are back by this long after the registrations can be read again.
     /// One that is still missing then belongs to a target that has gone.
     duration registration_return{std::chrono::milliseconds{3000}};
+    /// Hosts whose zone is no longer evacuated count as idle one after the other at this interval, so that
+    /// those that are not needed don't leave their pools at the same time.
+    duration return_interval{std::chrono::milliseconds{300}};
     pool_plan_settings pools;
 };
 
@@ -129,6 +132,10 @@
     [[nodiscard]] target_id target_of(const std::string& host) const;
     /// Whether the host may have one of the awaited targets.
     [[nodiscard]] bool awaits_target(const host_info& host) const;
+    /// Whether nothing may be started on the host, so that it is no capacity and isn't moved for work.
+    [[nodiscard]] bool is_evacuated(const host_info& host) const;
+    /// Notes since when each host is idle.
+    void update_idle_hosts();
     [[nodiscard]] std::vector<pool_state> pool_states();
     /// Returns the growth of the pool's demand in hosts per second; 0 while it falls.
     double demand_growth(const service_id& service, double present);
@@ -159,6 +166,7 @@
     std::map<std::string, target_id> target_by_host_; ///< Current targets according to service discovery.
     std::map<std::string, timestamp> last_listed_;
     std::map<std::string, timestamp> idle_since_;
+    std::set<std::string> evacuated_hosts_;
     std::map<std::string, pending_order> pending_orders_;
     std::map<std::string, wave_state> waves_;
     std::map<std::string, wave_record> restored_waves_;
--- a/src/plugins/jobs/host_operations.h
+++ b/src/plugins/jobs/host_operations.h
@@ -22,6 +22,7 @@
     host_state state = host_state::up;
     resources capacity;
     target_id target; ///< Target that runs on the host; empty if there is none.
+    zone_id zone;     ///< Empty if unknown.
 };
 
 enum class host_errc {
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -226,7 +226,7 @@
             {{"entries", entries.size()}, {"with_progress", stored_progress_.size()}, {"token", token_}});
     loaded_ = true;
     if (hosts_)
-        hosts_->set_waves(waves_);
+        hosts_->set_waves(requests_.waves);
     stored_progress_.clear();
     request_pass();
 }
@@ -284,11 +284,13 @@
     request_pass();
 }
 
-void job_leader::set_waves(const std::map<std::string, maintenance_wave>& waves)
+void job_leader::set_requests(const operator_requests& requests)
 {
-    waves_ = waves;
+    requests_ = requests;
+    scheduler_.set_evacuated_zones(requests_.evacuated_zones, now());
+    request_pass();
     if (hosts_ && loaded_)
-        hosts_->set_waves(waves_);
+        hosts_->set_waves(requests_.waves);
 }
 
 void job_leader::tick()
@@ -296,14 +298,10 @@
     if (stopped_)
         return;
     if (load_after_ && services_.time.now() >= next_load_) {
-        const std::string after = *load_after_;
-        load_after_.reset();
-        load_progress(after);
+        load_progress(*std::exchange(load_after_, std::nullopt));
     }
     if (load_hosts_after_ && services_.time.now() >= next_load_) {
-        const std::string after = *load_hosts_after_;
-        load_hosts_after_.reset();
-        load_hosts(after);
+        load_hosts(*std::exchange(load_hosts_after_, std::nullopt));
     }
     if (!journal_opened_ && !journal_opening_ && services_.time.now() >= next_load_) {
         journal_opening_ = true;
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -64,10 +64,9 @@
 
     void tick();
     void set_config(std::shared_ptr<const fleet_config> config);
-    void set_waves(const std::map<std::string, maintenance_wave>& waves);
+    void set_requests(const operator_requests& requests);
 
-    /// Whether all stored jobs have been read.
-    [[nodiscard]] bool loaded() const { return loaded_; }
+    [[nodiscard]] const evacuation_state& evacuation() const { return scheduler_.evacuation(); }
     /// Returns the state of a job as callers see it, and its owner.
     [[nodiscard]] tl::expected<job_status, leader_errc> state_of(const job_id& id) const;
     /// Returns the number of waiting jobs of a queue. Fails if this leader may not know of recent ones.
@@ -135,7 +134,7 @@
     std::optional<std::string> load_after_; ///< Key after which a failed read of progress is to be repeated.
     std::optional<std::string> load_hosts_after_; ///< The same for the records about hosts.
     std::vector<kv_entry> host_entries_;          ///< Records about hosts that have been read so far.
-    std::map<std::string, maintenance_wave> waves_;
+    operator_requests requests_;
     bool journal_opened_ = false;
     bool journal_opening_ = false;
     bool loaded_ = false;
--- a/src/plugins/jobs/job_node.cpp
+++ b/src/plugins/jobs/job_node.cpp
@@ -19,9 +19,12 @@
                                                                              services_.time,
                                                                              services_.log,
                                                                              services_.metrics},
-      election_{services_.store, services_.time, services_.random,
-                with_address(settings_.election, settings_.peer_address),
-                [this](leadership_event event, const std::string& detail) { on_election(event, detail); }}
+      evacuation_gauges_{services_.metrics}, election_{
+                                                 services_.store, services_.time, services_.random,
+                                                 with_address(settings_.election, settings_.peer_address),
+                                                 [this](leadership_event event, const std::string& detail) {
+                                                     on_election(event, detail);
+                                                 }}
 {
 }
 
@@ -60,10 +63,11 @@
                 step_down_reason_ = why;
                 step_down_ = true;
             });
-        leader_->set_waves(waves_);
+        leader_->set_requests(requests_);
     }
     if (leader_)
         leader_->tick();
+    evacuation_gauges_.set(leader_ ? leader_->evacuation() : evacuation_state{});
 }
 
 void job_node::set_config(std::shared_ptr<const fleet_config> config)
@@ -76,9 +80,16 @@
 
 void job_node::set_waves(const std::map<std::string, maintenance_wave>& waves)
 {
-    waves_ = waves;
+    requests_.waves = waves;
     if (leader_)
-        leader_->set_waves(waves_);
+        leader_->set_requests(requests_);
+}
+
+void job_node::set_evacuated_zones(const std::set<zone_id>& zones)
+{
+    requests_.evacuated_zones = zones;
+    if (leader_)
+        leader_->set_requests(requests_);
 }
 
 void job_node::resign()
--- a/src/plugins/jobs/job_node.h
+++ b/src/plugins/jobs/job_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/random_source.h"
+#include "jobs/evacuation_gauges.h"
 #include "jobs/job_front.h"
 #include "jobs/job_leader.h"
 #include "jobs/leadership.h"
@@ -29,7 +30,8 @@
     random_source& random;
     logger log;
     metric_registry& metrics;
-    /// Returns the time whose configuration the node has been given; null if it doesn't change.
+    /// Returns the time whose configuration and requests of the operator the node has been given; null if
+    /// they don't change.
     std::function<timestamp()> config_known_at = {};
 };
 
@@ -42,6 +44,8 @@
     void tick();
     void set_config(std::shared_ptr<const fleet_config> config);
     void set_waves(const std::map<std::string, maintenance_wave>& waves);
+    /// Sets the zones to whose targets nothing more is sent.
+    void set_evacuated_zones(const std::set<zone_id>& zones);
     /// Resigns the leadership for good. Callers' requests are still answered.
     void resign();
 
@@ -58,7 +62,8 @@
     job_node_services services_;
     job_front front_;
     std::shared_ptr<const fleet_config> config_;
-    std::map<std::string, maintenance_wave> waves_;
+    operator_requests requests_;
+    evacuation_gauges evacuation_gauges_;
     std::unique_ptr<job_leader> leader_;
     std::string step_down_reason_; ///< Why the term ends, for the log; set with `step_down_`.
     bool step_down_ = false;       ///< The leader has been superseded; the next `tick` ends its term.
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -215,6 +215,7 @@
     t.listed = true;
     t.cordoned = cordons_.contains(info.host);
     t.maintained_soon = maintained_soon_.contains(info.host);
+    t.evacuated = evacuation_.zones.contains(info.zone);
     plan_needed_.insert(info.service);
     return true;
 }
@@ -472,6 +473,7 @@
         next_run_check_ = time.now + settings_.run_check_interval;
         move_off_draining_targets(time);
         check_runs(time);
+        check_evacuation(time);
         for (const target_id& id : std::exchange(restored_losses_, {}))
             resolve_if_succeeded(id, time);
         forget_old_crashes(time.now);
@@ -528,12 +530,4 @@
     });
 }
 
-void job_scheduler::plan_all_services()
-{
-    for (const auto& [service, queue] : queues_) {
-        if (!queue.jobs.empty())
-            plan_needed_.insert(service);
-    }
-}
-
 } // namespace mjm
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "jobs/evacuation.h"
 #include "jobs/fleet_config.h"
 #include "jobs/given_up_runs.h"
 #include "jobs/job.h"
 #include "jobs/lease_policy.h"
+#include "jobs/lost_target.h"
 #include "jobs/placement.h"
 #include "jobs/run_evidence.h"
 #include "jobs/scheduler_events.h"
@@ -67,6 +69,9 @@
     /// Sets the hosts that take no new work, and the hosts that will be maintained soon. The latter get
     /// permanent tasks only if no other host has free capacity.
     void set_cordons(const std::set<std::string>& cordoned, const std::set<std::string>& maintained_soon);
+    /// Sets the zones to whose targets nothing more is sent. What runs there goes on.
+    void set_evacuated_zones(const std::set<zone_id>& zones, scheduler_time time);
+    [[nodiscard]] const evacuation_state& evacuation() const { return evacuation_; }
     /// Handles the platform's confirmation that the target's host was moved or maintained, now or earlier.
     /// If the target answers afterwards, the confirmed order was an earlier one, and the target and its runs
     /// are kept. Silence alone does not show which it was: the runs are then kept until `on_host_taken_down`,
@@ -174,22 +179,6 @@
         timestamp next_ranking;
     };
     class unsatisfiable_needs;
-    struct lost_run {
-        task_key task;
-        run_number run = 0;
-        bool restored = false; ///< Whether an earlier leader has started it, at an unknown time.
-    };
-    struct kept_target {
-        target_id target;
-        timestamp since;
-    };
-    /// A target whose lease ran out in silence. It has crashed, or it may answer again.
-    struct lost_target {
-        std::string host;
-        target_incarnation incarnation = 0;
-        timestamp lost_at;
-        std::vector<lost_run> runs; ///< Its runs that were on probation.
-    };
 
     // job_scheduler.cpp
     void log_event(scheduler_event event, const job_id& id, const task_key* task, run_number run,
@@ -266,6 +255,12 @@
     /// Handles that targets whose hosts were ordered down have a successor on their host.
     void end_ordered_predecessors(const target_info& successor, scheduler_time time);
 
+    // scheduler_evacuation.cpp
+    /// Counts what the evacuation of zones concerns, once per `evacuation_check_interval`.
+    void check_evacuation(scheduler_time time);
+    [[nodiscard]] bool runs_in_evacuated_zone(const task_run& run) const;
+    [[nodiscard]] std::set<job_id> jobs_awaiting_zones(scheduler_time time) const;
+
     // scheduler_plan.cpp
     void plan_pool(const service_id& service, service_queue& queue, scheduler_time time);
     void plan_job(open_job& open, const std::vector<target_status*>& pool, unsatisfiable_needs& unsatisfiable,
@@ -456,6 +451,7 @@
     std::map<task_key, kept_target> isolation_targets_;
     std::set<std::string> cordons_;
     std::set<std::string> maintained_soon_;
+    evacuation_state evacuation_;
     std::vector<target_command> commands_;
     std::set<service_id> plan_needed_; ///< Services whose jobs, targets or free capacity have changed.
     timestamp next_full_plan_;
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -59,7 +59,7 @@
 
 bool accepts_work(const target_status& t, timestamp now)
 {
-    return t.listed && t.synced && t.reachable && !t.cordoned && !t.leaving &&
+    return t.listed && t.synced && t.reachable && !t.cordoned && !t.evacuated && !t.leaving &&
            t.info.state == target_state::ready && now >= t.avoid_until && t.capacity_known() &&
            !t.has_unknown_need() && !t.lease_wait_stored && !t.retired();
 }
--- a/src/plugins/jobs/scheduler_crashes.cpp
+++ b/src/plugins/jobs/scheduler_crashes.cpp
@@ -31,7 +31,7 @@
     give_up_jobs(suspects, time);
 }
 
-std::vector<job_scheduler::lost_run> job_scheduler::runs_on_probation(const std::vector<task_key>& keys)
+std::vector<lost_run> job_scheduler::runs_on_probation(const std::vector<task_key>& keys)
 {
     std::vector<lost_run> out;
     for (const task_key& key : keys) {
@@ -128,8 +128,7 @@
         resolve_lost_target(id, successor->second.info.incarnation, time);
 }
 
-std::vector<job_scheduler::lost_run> job_scheduler::note_lost_target(const target_status& t,
-                                                                     scheduler_time time)
+std::vector<lost_run> job_scheduler::note_lost_target(const target_status& t, scheduler_time time)
 {
     if (!t.expected_to_stay())
         return {};
--- a/src/plugins/jobs/scheduler_events.h
+++ b/src/plugins/jobs/scheduler_events.h
@@ -34,11 +34,14 @@
     job_given_up,
     end_withheld,
     given_up_runs_dropped,
+    evacuation_started,
+    evacuation_ended,
+    job_awaits_zone,
 };
 
 template <>
 struct enum_names<scheduler_event> {
-    static constexpr std::array<std::pair<scheduler_event, std::string_view>, 21> entries{{
+    static constexpr std::array<std::pair<scheduler_event, std::string_view>, 24> entries{{
         {scheduler_event::job_added, "job_added"},
         {scheduler_event::job_cancelled, "job_cancelled"},
         {scheduler_event::job_finished, "job_finished"},
@@ -60,6 +63,9 @@
         {scheduler_event::job_given_up, "job_given_up"},
         {scheduler_event::end_withheld, "end_withheld"},
         {scheduler_event::given_up_runs_dropped, "given_up_runs_dropped"},
+        {scheduler_event::evacuation_started, "evacuation_started"},
+        {scheduler_event::evacuation_ended, "evacuation_ended"},
+        {scheduler_event::job_awaits_zone, "job_awaits_zone"},
     }};
 };
 
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -76,8 +76,9 @@
     std::vector<std::int64_t> waiting(steps, 0);
     std::vector<std::int64_t> blocked(steps, 0);
     j.for_open_tasks([&](const task_position& p, const task& t) {
+        // A run in an evacuated zone uses no host that counts for a pool.
         if (t.run)
-            ++running[p.step];
+            running[p.step] += runs_in_evacuated_zone(*t.run) ? 0 : 1;
         else if (j.step_ready(p.occurrence, p.step))
             ++waiting[p.step];
         else if (p.occurrence == 0)
--- a/src/plugins/jobs/scheduler_io.h
+++ b/src/plugins/jobs/scheduler_io.h
@@ -20,7 +20,7 @@
 struct view_times {
     timestamp targets;
     timestamp cancellations;
-    timestamp configuration;
+    timestamp configuration; ///< And the evacuations of zones, which the operator writes beside it.
 };
 
 /// Progress of a job that is to be written to the store.
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -70,11 +70,20 @@
     }
 }
 
+void job_scheduler::plan_all_services()
+{
+    for (const auto& [service, queue] : queues_) {
+        if (!queue.jobs.empty())
+            plan_needed_.insert(service);
+    }
+}
+
 timestamp job_scheduler::views_recent_until() const
 {
     return std::min({known_at_.targets + settings_.max_target_view_age,
                      known_at_.cancellations + settings_.max_cancel_view_age,
-                     known_at_.configuration + settings_.max_config_view_age});
+                     known_at_.configuration + settings_.max_config_view_age,
+                     known_at_.configuration + settings_.max_evacuation_view_age});
 }
 
 void job_scheduler::plan_pool(const service_id& service, service_queue& queue, scheduler_time time)
@@ -238,6 +247,8 @@
     if (!target.reachable || !target.clock || !target.listed || target.info.state != target_state::ready ||
         target.info.incarnation != run.incarnation)
         return "target changed before the start";
+    if (target.evacuated)
+        return "zone is evacuated";
     if (!target.capacity_known())
         return "capacity of the restarted target is unknown";
     if (target.has_unknown_need())
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -20,6 +20,11 @@
     /// Largest age of the configuration with which a run may still start. Less than the time within which a
     /// change of the configuration must take effect.
     duration max_config_view_age{std::chrono::milliseconds{1500}};
+    /// Largest age of the view of evacuations with which a run may still start. Less than the time within
+    /// which starts in an evacuated zone must end.
+    duration max_evacuation_view_age{std::chrono::milliseconds{1500}};
+    /// Interval between two counts of what the evacuation of zones concerns.
+    duration evacuation_check_interval{std::chrono::milliseconds{1000}};
     /// Wait before a task is started again after its first failure; doubled with each further failure.
     duration failure_backoff{std::chrono::milliseconds{50}};
     /// Wait before an unanswered stop is sent again, doubled with each further one, and before a stop is
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -42,6 +42,7 @@
     bool synced = false;    ///< Whether it has answered this leader, so that it refuses any earlier one.
     bool reachable = true;  ///< Whether it counts as reachable, going by its latest answers.
     bool cordoned = false;  ///< Whether it takes no new work, because its host will be maintained or moved.
+    bool evacuated = false; ///< Whether its zone is evacuated, so that nothing is started on it.
     bool leaving = false;   ///< Whether an order that ends all its runs may have been carried out.
     timestamp ordered_down_at;    ///< When such an order was confirmed; the epoch if none was.
     bool maintained_soon = false; ///< Whether its host will be maintained soon.
--- a/src/plugins/jobs/tests/fakes/fake_targets.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_targets.cpp
@@ -27,6 +27,7 @@
 constexpr std::chrono::milliseconds contact_time{3000};
 // The platform's `drain-ms`.
 constexpr std::chrono::milliseconds drain_time{2000};
+constexpr std::chrono::milliseconds evacuation_time{2000};
 constexpr std::chrono::milliseconds time_until_next_target{2000};
 // The platform's `heartbeat-ms`.
 constexpr std::chrono::milliseconds heartbeat_interval{1500};
@@ -179,6 +180,9 @@
         violations.push_back("started after its job was cancelled: " + to_string(order.task));
     if (in_time && t.draining_since != timestamp{} && now - t.draining_since > drain_time)
         violations.push_back("started on a draining target: " + to_string(order.task));
+    const auto evacuation = evacuated.find(t.info.zone);
+    if (in_time && evacuation != evacuated.end() && now - evacuation->second > evacuation_time)
+        violations.push_back("started in an evacuated zone: " + to_string(order.task));
     const auto fails = acknowledged_fails.find(order.task);
     if (fails != acknowledged_fails.end() && fails->second >= max_attempts &&
         !limitless_attempts.contains(order.task.job))
@@ -453,7 +457,7 @@
     std::vector<host_info> out;
     for (const auto& [host, t] : hosts_)
         out.push_back({host, t.info.service, t.up ? host_state::up : host_state::maintained, t.info.capacity,
-                       t.info.id});
+                       t.info.id, t.info.zone});
     return out;
 }
 
--- a/src/plugins/jobs/tests/fakes/fake_targets.h
+++ b/src/plugins/jobs/tests/fakes/fake_targets.h
@@ -98,6 +98,7 @@
     /// Changes the capacity of the host, which its target tells `told_after` later.
     void set_capacity(const std::string& host, const resources& capacity, duration told_after);
     void set_cut(const std::string& host, bool cut) { find(host)->cut = cut; }
+    void set_zone(const std::string& host, const zone_id& zone) { find(host)->info.zone = zone; }
 
     /// `sender_in_touch` tells whether the sender has had no fault for a while, so that bounds hold for it.
     void start(const target_ref& to, const start_order& order, bool sender_in_touch,
@@ -137,6 +138,8 @@
     std::map<task_key, int> acknowledged_fails; ///< Those of them whose ends were acknowledged in time.
     /// When the cancellation of each job was acknowledged.
     std::map<job_id, timestamp> cancelled;
+    /// When the request to evacuate each zone was acknowledged.
+    std::map<zone_id, timestamp> evacuated;
     /// Latest time at which no leader worked without a fault.
     timestamp last_leader_fault;
     /// Jobs that were shown to callers as completed. None of their tasks may start.
--- a/src/plugins/jobs/tests/fleet_simulation.cpp
+++ b/src/plugins/jobs/tests/fleet_simulation.cpp
@@ -191,6 +191,17 @@
     }
 }
 
+void fleet_simulation::evacuate(const std::set<zone_id>& zones)
+{
+    std::erase_if(fleet.evacuated, [&zones](const auto& entry) { return !zones.contains(entry.first); });
+    for (const zone_id& zone : zones)
+        fleet.evacuated.try_emplace(zone, loop.time().now());
+    for (const std::unique_ptr<entry_host>& h : hosts) {
+        if (h->node && !h->config_frozen_at)
+            h->node->set_evacuated_zones(zones);
+    }
+}
+
 void fleet_simulation::cancel(const std::string& id, entry_host& through)
 {
     if (!through.node)
--- a/src/plugins/jobs/tests/fleet_simulation.h
+++ b/src/plugins/jobs/tests/fleet_simulation.h
@@ -82,6 +82,9 @@
     void submit(const std::string& id, std::uint32_t tasks, bool permanent = false);
     /// Requests the maintenance of hosts from all entry hosts.
     void start_wave(const maintenance_wave& wave);
+    /// Stores the request that exactly these zones are evacuated. Entry hosts whose configuration is frozen
+    /// don't hear of it.
+    void evacuate(const std::set<zone_id>& zones);
     /// Cancels a job through the entry host. Asks again every 0.5 s while the outcome is unknown.
     void cancel(const std::string& id, entry_host& through);
     /// Cuts an availability zone off from the others and from the store: the entry host and the hosts in it.
--- a/src/plugins/jobs/tests/tst_host_orders.cpp
+++ b/src/plugins/jobs/tests/tst_host_orders.cpp
@@ -71,7 +71,7 @@
     {
         REQUIRE_FALSE(operations.lists.empty());
         operations.lists.front()(std::vector<host_info>{
-            {host_, service_id{"fit"}, state, {32'000, 131'072, 0, 0}, target_id{"a"}}});
+            {host_, service_id{"fit"}, state, {32'000, 131'072, 0, 0}, target_id{"a"}, {}}});
         operations.lists.pop_front();
     }
     void run_for(duration d)
@@ -99,6 +99,64 @@
 
 } // namespace
 
+// Guards against hosts of an evacuated zone that are counted as capacity or moved for work, and against moves
+// of all of them at once when the zone is given back.
+TEST_CASE("hosts of an evacuated zone are neither capacity nor moved, and return one after the other")
+{
+    scheduler_fixture f;
+    virtual_loop loop;
+    answered_host_operations operations;
+    fake_transaction_store store{loop};
+    fake_store_link link{loop, store};
+    log_sink sink{log_settings{}, loop.time(), [](const std::string&) {}};
+    host_manager manager{{},
+                         {f.scheduler, operations, link, loop.time(), logger{sink, "test"}},
+                         put_leader_key(store),
+                         [&loop] { return loop.time().now() + 1s; }};
+    std::shared_ptr<fleet_config> config = std::make_shared<fleet_config>();
+    const service_id fit{"fit"};
+    const service_id off{"off"};
+    config->services.emplace(fit, service_config{fit, true, false});
+    config->services.emplace(off, service_config{off, true, true});
+    manager.set_config(config);
+    manager.restore({}, host_order_record{}, 0);
+    const zone_id zone{"z"};
+    std::vector<host_info> hosts;
+    for (const char* name : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+        f.add_target(name);
+        hosts.push_back({std::string{"host-"} + name,
+                         fit,
+                         host_state::up,
+                         {32'000, 131'072, 0, 0},
+                         target_id{name},
+                         zone});
+    }
+    for (const char* name : {"x", "y"})
+        hosts.push_back({name, off, host_state::up, {32'000, 131'072, 0, 0}, target_id{}, zone});
+    const auto run = [&](duration d) {
+        loop.run_for(d, [&] {
+            manager.tick();
+            while (!operations.lists.empty()) {
+                operations.lists.front()(hosts);
+                operations.lists.pop_front();
+            }
+        });
+    };
+    f.scheduler.set_evacuated_zones({zone}, f.now());
+    run(6s);
+    CHECK(operations.orders.empty());
+
+    hosts.back().zone = zone_id{"other"};
+    run(1s);
+    CHECK(operations.orders.size() == 1); // The only host that is any capacity.
+    f.scheduler.set_evacuated_zones({}, f.now());
+    run(2600ms);
+    const std::size_t first = operations.orders.size();
+    CHECK(first < 4);
+    run(3s);
+    CHECK(operations.orders.size() > first);
+}
+
 // Guards against a task that is started elsewhere because a list is older than the target that runs it.
 TEST_CASE("a host that is listed as down before it was ordered down loses no run")
 {
