Prefer warm targets, and allow stragglers the time for which a target is cold

A target may be slow for some time after its start, which its entry tells (cold-left-ms). The field was dropped as a part of heartbeats, so cold targets counted as fast ones: they got work while warm ones were free, and their runs were stopped as stalled.

Tasks that end go to warm targets first and to cold ones rather than wait. The time for which a run's target was cold doesn't count for stragglers. Where entries tell no such time, nothing changes.

--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -26,7 +26,7 @@
 {
     return a.state == b.state && a.service == b.service && a.capacity == b.capacity &&
            a.endpoint == b.endpoint && a.host == b.host && a.zone == b.zone && a.rack == b.rack &&
-           a.labels == b.labels;
+           a.labels == b.labels && a.warm_at == b.warm_at;
 }
 
 } // namespace
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -8,6 +8,7 @@
 
 // The penalties rank kinds of targets: each is larger than the sum of the fill level, which is at most 1, and
 // all smaller penalties.
+constexpr double cold_penalty = 3.0;
 constexpr double wrong_rack_penalty = 10.0;
 constexpr double concentrated_penalty = 30.0;
 constexpr double maintained_soon_penalty = 50.0;
@@ -33,7 +34,7 @@
            separated(t, request);
 }
 
-double cost(const target_status& t, const placement_request& request)
+double cost(const target_status& t, const placement_request& request, timestamp now)
 {
     const step_spec& step = *request.step;
     const double fill = t.fill_level();
@@ -42,6 +43,9 @@
     const std::string& rack = step.data_rack.empty() ? request.preferred_rack : step.data_rack;
     if (!rack.empty() && t.info.rack.str() != rack)
         result += wrong_rack_penalty;
+    // A permanent task outlasts the time for which its target is cold.
+    if (!step.permanent && now < t.info.warm_at)
+        result += cold_penalty;
     // A host with more tasks of a step than may be unavailable at a time can't be maintained.
     if (step.max_unavailable != 0 && request.step_runs != nullptr) {
         const auto it = request.step_runs->find(t.info.id);
@@ -93,7 +97,7 @@
     for (target_status* t : pool) {
         if (!may_run(*t, request, now))
             continue;
-        const double c = cost(*t, request);
+        const double c = cost(*t, request, now);
         if (best == nullptr || c < best_cost) {
             best = t;
             best_cost = c;
--- a/src/plugins/jobs/placement.h
+++ b/src/plugins/jobs/placement.h
@@ -33,7 +33,8 @@
 
 /// Chooses a target for one task. Returns null if no target fits. The fullest target with enough free
 /// capacity is chosen, so that others stay free for tasks with large needs, for maintenance, and for other
-/// pools. Backfill tasks go to the emptiest target.
+/// pools. Backfill tasks go to the emptiest target. A target that is
+/// slow after its start gets a task that ends only if no other fits.
 [[nodiscard]] target_status* choose_target(const placement_request& request,
                                            const std::vector<target_status*>& pool, timestamp now);
 
--- a/src/plugins/jobs/scheduler_stragglers.cpp
+++ b/src/plugins/jobs/scheduler_stragglers.cpp
@@ -34,6 +34,10 @@
     }
     if (bound && (step.rack_sensitive || (!step.data_rack.empty() && step.data_rack != t.info.rack.str())))
         *bound *= off_rack_factor;
+    // How much slower a cold target is isn't known, so its time as such doesn't count.
+    const std::optional<task_run>& run = open.state->at(p).run;
+    if (bound && run && t.info.warm_at > run->answered_at)
+        *bound += t.info.warm_at - run->answered_at;
     return bound;
 }
 
--- a/src/plugins/jobs/target_orders.h
+++ b/src/plugins/jobs/target_orders.h
@@ -27,7 +27,8 @@
     std::vector<std::string> labels; ///< Labels such as the kind and the rack.
     rack_id rack;                    ///< Empty if unknown.
     target_incarnation incarnation = 0;
-    std::string host; ///< Host on which the target's process runs; empty if unknown.
+    std::string host;  ///< Host on which the target's process runs; empty if unknown.
+    timestamp warm_at; ///< Until then, runs take longer than later; the epoch if it is warm.
 
     friend bool operator==(const target_info&, const target_info&) = default;
 };
