--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/evacuation.h"
 #include "jobs/fleet_config.h"
 #include "jobs/given_up_runs.h"
 #include "jobs/job.h"
@@ -68,6 +69,9 @@
     /// Sets the hosts that take no new work, and the hosts that will be maintained soon. The latter get
     /// permanent tasks only if no other host has free capacity.
     void set_cordons(const std::set<std::string>& cordoned, const std::set<std::string>& maintained_soon);
+    /// Sets the zones to whose targets nothing more is sent. What runs there goes on.
+    void set_evacuated_zones(const std::set<zone_id>& zones, scheduler_time time);
+    [[nodiscard]] const evacuation_state& evacuation() const { return evacuation_; }
     /// Handles the platform's confirmation that the target's host was moved or maintained, now or earlier.
     /// If the target answers afterwards, the confirmed order was an earlier one, and the target and its runs
     /// are kept. Silence alone does not show which it was: the runs are then kept until `on_host_taken_down`,
@@ -251,6 +255,12 @@
     /// Handles that targets whose hosts were ordered down have a successor on their host.
     void end_ordered_predecessors(const target_info& successor, scheduler_time time);
 
+    // scheduler_evacuation.cpp
+    /// Counts what the evacuation of zones concerns, once per `evacuation_check_interval`.
+    void check_evacuation(scheduler_time time);
+    [[nodiscard]] bool runs_in_evacuated_zone(const task_run& run) const;
+    [[nodiscard]] std::set<job_id> jobs_awaiting_zones(scheduler_time time) const;
+
     // scheduler_plan.cpp
     void plan_pool(const service_id& service, service_queue& queue, scheduler_time time);
     void plan_job(open_job& open, const std::vector<target_status*>& pool, unsatisfiable_needs& unsatisfiable,
@@ -448,6 +458,7 @@
     std::map<task_key, kept_target> isolation_targets_;
     std::set<std::string> cordons_;
     std::set<std::string> maintained_soon_;
+    evacuation_state evacuation_;
     std::vector<target_command> commands_;
     std::set<service_id> plan_needed_; ///< Services whose jobs, targets or free capacity have changed.
     timestamp next_full_plan_;
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -9,6 +9,7 @@
 // The penalties rank kinds of targets: each is larger than the sum of the fill level, which is at most 1, and
 // all smaller penalties.
 constexpr double pace_limited_penalty = 3.0;
+constexpr double cold_penalty = 5.0;
 constexpr double wrong_rack_penalty = 10.0;
 constexpr double concentrated_penalty = 30.0;
 constexpr double maintained_soon_penalty = 50.0;
@@ -34,7 +35,7 @@
            separated(t, request) && (!request.step->backfill || now >= t.next_backfill_start);
 }
 
-double cost(const target_status& t, const placement_request& request)
+double cost(const target_status& t, const placement_request& request, timestamp now)
 {
     const step_spec& step = *request.step;
     const double fill = t.fill_level();
@@ -43,6 +44,9 @@
     const std::string& rack = step.data_rack.empty() ? request.preferred_rack : step.data_rack;
     if (!rack.empty() && t.info.rack.str() != rack)
         result += wrong_rack_penalty;
+    // A permanent task outlasts the time for which its target is cold.
+    if (!step.permanent && now < t.info.warm_at)
+        result += cold_penalty;
     // A host with more tasks of a step than may be unavailable at a time can't be maintained.
     if (step.max_unavailable != 0 && request.step_runs != nullptr) {
         const auto it = request.step_runs->find(t.info.id);
@@ -62,7 +66,7 @@
 
 bool accepts_work(const target_status& t, timestamp now)
 {
-    return t.listed && t.synced && t.reachable && !t.cordoned && !t.leaving &&
+    return t.listed && t.synced && t.reachable && !t.cordoned && !t.evacuated && !t.leaving &&
            t.info.state == target_state::ready && now >= t.avoid_until && t.capacity_known() &&
            !t.has_unknown_need() && !t.lease_wait_stored && !t.retired();
 }
@@ -96,7 +100,7 @@
     for (target_status* t : pool) {
         if (!may_run(*t, request, now))
             continue;
-        const double c = cost(*t, request);
+        const double c = cost(*t, request, now);
         if (best == nullptr || c < best_cost) {
             best = t;
             best_cost = c;
