Learn run times from finished runs, and order and place work by them

Cause: callers declare run times that are off by half in some queues, and the order of jobs, the check for stalled runs and the objective all rest on them. Targets that are slow by themselves get as much work as others.

Change: run_time_model keeps decaying histograms of run times and of their ratio to the declared ones, by queue, image and order of magnitude of the declared processor time, and the speed of each target apart from them. The scheduler sets what it expects of a job when the job is added, and placement prefers targets of usual speed. run_time_store keeps the model in the store for the next leader.

--- a/src/plugins/jobs/job.cpp
+++ b/src/plugins/jobs/job.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mjm {
 
@@ -10,6 +11,7 @@
         step_offsets_.push_back(tasks_per_occurrence_);
         tasks_per_occurrence_ += s.tasks;
         permanent_ = permanent_ || s.permanent;
+        expected_run_times_.push_back(s.estimate);
     }
     tasks_.resize(tasks_per_occurrence_ * record_.spec.occurrences);
     open_ = tasks_.size();
@@ -116,6 +118,14 @@
         std::count_if(tasks_.begin(), tasks_.end(), [](const task& t) { return t.run.has_value(); }));
 }
 
+void job::set_expected_run_time(std::uint32_t step, duration expected)
+{
+    if (std::exchange(expected_run_times_[step], expected) == expected)
+        return;
+    critical_path_ = compute_critical_path(false);
+    update_remaining_work();
+}
+
 void job::update_remaining_work()
 {
     remaining_critical_path_ = compute_critical_path(true);
@@ -129,7 +139,7 @@
     for (std::size_t i = 0; i < open_tasks_by_step_.size(); ++i) {
         const step_spec& s = record_.spec.steps[i % steps];
         work += static_cast<double>(open_tasks_by_step_[i]) * static_cast<double>(s.need.milli_cpu) / 1000.0 *
-                std::chrono::duration<double>(s.estimate).count();
+                std::chrono::duration<double>(expected_run_times_[i % steps]).count();
     }
     return work;
 }
@@ -143,7 +153,7 @@
         for (const std::uint32_t dependency : record_.spec.steps[s].after)
             path_end[s] = std::max(path_end[s], path_end[dependency]);
         if (!open_only || open_tasks_by_step_[s] > 0)
-            path_end[s] += record_.spec.steps[s].estimate;
+            path_end[s] += expected_run_times_[s];
         longest = std::max(longest, path_end[s]);
     }
     return longest;
--- a/src/plugins/jobs/job.h
+++ b/src/plugins/jobs/job.h
@@ -120,11 +120,14 @@
 
     [[nodiscard]] std::size_t open_tasks() const { return open_; }
     [[nodiscard]] std::size_t active_runs() const;
-    /// Returns the sum of declared run times along the critical path through the steps of an occurrence.
+    /// Sets how long a task of the step is expected to run; at first that is the declared run time.
+    void set_expected_run_time(std::uint32_t step, duration expected);
+    [[nodiscard]] duration expected_run_time(std::uint32_t step) const { return expected_run_times_[step]; }
+    /// Returns the sum of expected run times along the critical path through the steps of an occurrence.
     [[nodiscard]] duration critical_path() const { return critical_path_; }
     /// Returns the same sum over those steps that are not done in the first occurrence.
     [[nodiscard]] duration remaining_critical_path() const { return remaining_critical_path_; }
-    /// Returns the declared core-seconds of the tasks that are not done.
+    /// Returns the expected core-seconds of the tasks that are not done.
     [[nodiscard]] double open_work_core_seconds() const { return open_work_core_seconds_; }
     /// Returns, for each kind of resource, the smallest amount that a task of any step reserves.
     [[nodiscard]] const resources& smallest_need() const { return smallest_need_; }
@@ -150,6 +153,7 @@
 
     job_record record_;
     std::vector<task> tasks_;
+    std::vector<duration> expected_run_times_;      ///< Of one task, by step.
     std::vector<std::size_t> step_offsets_;         ///< Index of each step's first task within an occurrence.
     std::vector<std::uint32_t> open_tasks_by_step_; ///< Tasks that are not done, by occurrence and step.
     std::size_t tasks_per_occurrence_ = 0;
--- a/src/plugins/jobs/job_keys.h
+++ b/src/plugins/jobs/job_keys.h
@@ -33,6 +33,8 @@
 inline constexpr std::string_view lease_waits = "mjm/hosts/lease-waits";
 /// Runs that were given up while their targets were silent, see `given_up_runs`.
 inline constexpr std::string_view given_up_runs = "mjm/hosts/given-up-runs";
+/// What leaders have learned of run times, see `run_time_model`.
+inline constexpr std::string_view run_times = "mjm/hosts/run-times";
 
 /// Returns the key of a job below `prefix`.
 [[nodiscard]] inline std::string of(std::string_view prefix, const job_id& id)
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -58,6 +58,7 @@
                 [this](tl::expected<void, store_errc> reachability) {
                     log_store_reachability(services_.log, "journal", reachability);
                 }}},
+      run_times_{services_.store, services_.time, services_.log, token},
       first_start_seconds_{services_.metrics.histogram(
           "mjm_first_start_seconds",
           "Time from the acceptance of a job to the choice of a target for a task's first run.",
@@ -182,6 +183,8 @@
                 scheduler_.restore_lease_waits(*waits);
             else
                 services_.log.error("lease_waits_unreadable", {{"revision", e.revision}});
+        } else if (e.key == job_keys::run_times) {
+            scheduler_.restore_run_times(run_times_.restore(e, settings_.scheduling.run_times));
         } else if (e.key == job_keys::given_up_runs) {
             if (std::optional<given_up_runs> runs = given_up_runs::decode(e.value))
                 scheduler_.restore_given_up_runs(std::move(*runs), services_.time.now());
@@ -323,6 +326,7 @@
         if (hosts_ && has_targets_)
             hosts_->tick();
         remove_expired_jobs();
+        run_times_.tick(scheduler_.run_times());
     }
     plan_and_send();
 }
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -7,6 +7,7 @@
 #include "jobs/job_scheduler.h"
 #include "jobs/prefix_watch.h"
 #include "jobs/progress_journal.h"
+#include "jobs/run_time_store.h"
 #include "jobs/target_directory.h"
 #include "jobs/transaction_store.h"
 #include "logging/logger.h"
@@ -115,6 +116,7 @@
     const std::function<void(const std::string&)> superseded_;
     job_scheduler scheduler_;
     progress_journal journal_;
+    run_time_store run_times_;
     std::unique_ptr<host_manager> hosts_; ///< Null where hosts can't be moved or maintained.
     std::unique_ptr<prefix_watch> inbox_;
     std::map<job_id, std::string> stored_progress_;            ///< Read while taking over; empty once loaded.
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -33,7 +33,7 @@
 
 job_scheduler::job_scheduler(scheduler_settings settings, fencing_token token, scheduler_time time,
                              log_handler handler)
-    : settings_{settings}, token_{token}, leases_{settings.leases, time.now},
+    : settings_{settings}, token_{token}, leases_{settings.leases, time.now}, run_times_{settings.run_times},
       log_handler_{std::move(handler)}, config_{std::make_shared<fleet_config>()}
 {
 }
@@ -68,6 +68,7 @@
     open.step_runs.resize(j->record().spec.steps.size());
     open.times.resize(j->record().spec.steps.size());
     open.state = std::move(j);
+    expect_run_times(open);
     resolve_service(open);
     open.state->for_open_tasks([&](const task_position& p, task& t) {
         if (needs_isolation(t.crashes))
@@ -466,6 +467,7 @@
         if (t.listed || !t.runs.empty() || !t.unstored.empty() || t.observing || time.now <= t.lease_until)
             return false;
         targets_by_service_[t.info.service].erase(entry.first);
+        run_times_.forget_target(entry.first);
         return true;
     });
     if (time.now >= next_run_check_) {
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -6,6 +6,7 @@
 #include "jobs/lease_policy.h"
 #include "jobs/placement.h"
 #include "jobs/run_evidence.h"
+#include "jobs/run_time_model.h"
 #include "jobs/scheduler_events.h"
 #include "jobs/scheduler_io.h"
 #include "jobs/scheduler_settings.h"
@@ -117,6 +118,10 @@
     /// may have been handled since they were ordered.
     [[nodiscard]] std::vector<target_command> take_commands(scheduler_time time);
 
+    // Run times.
+    void restore_run_times(run_time_model model) { run_times_ = std::move(model); }
+    [[nodiscard]] const run_time_model& run_times() const { return run_times_; }
+
     // Answers.
     void on_start_answer(const target_id& target, const task_key& key, run_number run,
                          const tl::expected<order_answer, order_errc>& answer, scheduler_time time);
@@ -290,6 +295,14 @@
     /// Returns why the start must not be sent any more, or null if it may be.
     [[nodiscard]] const char* obstacle_to_sending(const start_command& start, timestamp now) const;
 
+    // scheduler_run_times.cpp
+    /// Sets what is expected of the job's tasks.
+    void expect_run_times(open_job& open) const;
+    /// Records the run time of a task whose run has ended as done.
+    void learn_run_time(const open_job& open, const task_position& p, timestamp now);
+    /// Returns the time that few tasks of the step exceed.
+    [[nodiscard]] duration expected_at_most(const open_job& open, std::uint32_t step) const;
+
     // scheduler_leases.cpp
     /// Notes that the target's lease is granted or extended.
     void note_lease(target_status& t, const granted_lease& lease, timestamp now) const;
@@ -436,6 +449,7 @@
     std::set<target_id> stored_waits_;              ///< Targets for which the store may have a wait.
     timestamp next_waits_write_;
     given_up_runs given_up_;
+    run_time_model run_times_;
     std::uint64_t given_up_stored_ = 0; ///< Number of the latest change of `given_up_` that the store has.
     const log_handler log_handler_;
     std::shared_ptr<const fleet_config> config_;
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -9,6 +9,12 @@
 // The penalties rank kinds of targets: each is larger than the sum of the fill level, which is at most 1, and
 // all smaller penalties.
 constexpr double wrong_rack_penalty = 10.0;
+// For each time the usual run time that a run takes longer; as for a rack on which it takes twice as long.
+constexpr double slow_target_penalty = 10.0;
+// Smaller differences don't outweigh an even filling of the targets.
+constexpr double noticeable_slowness = 1.3;
+// Keeps the penalty of a slow target below those of the next kinds.
+constexpr double largest_slow_penalty = 15.0;
 constexpr double concentrated_penalty = 30.0;
 constexpr double maintained_soon_penalty = 50.0;
 constexpr double avoided_penalty = 100.0;
@@ -42,6 +48,8 @@
     const std::string& rack = step.data_rack.empty() ? request.preferred_rack : step.data_rack;
     if (!rack.empty() && t.info.rack.str() != rack)
         result += wrong_rack_penalty;
+    if (!step.permanent && t.slowness >= noticeable_slowness)
+        result += std::min(slow_target_penalty * (t.slowness - 1.0), largest_slow_penalty);
     // A host with more tasks of a step than may be unavailable at a time can't be maintained.
     if (step.max_unavailable != 0 && request.step_runs != nullptr) {
         const auto it = request.step_runs->find(t.info.id);
--- /dev/null
+++ b/src/plugins/jobs/run_time_model.cpp
@@ -0,0 +1,187 @@
+#include "jobs/run_time_model.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+namespace mjm {
+
+namespace {
+
+using nlohmann::json;
+
+// Bounds of the expected run time, against values from other writers.
+constexpr double shortest_run_s = 0.001;
+constexpr double longest_run_s = 86'400.0;
+
+double seconds_of(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+duration duration_of(double seconds)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>{std::clamp(seconds, shortest_run_s, longest_run_s)});
+}
+
+/// Blends two values so that one that is too large by a factor weighs as much as one that is too small by it.
+double blend(double from, double to, double share_of_to)
+{
+    return std::exp2(std::log2(from) * (1.0 - share_of_to) + std::log2(to) * share_of_to);
+}
+
+json encode_histogram(const log_histogram& h)
+{
+    json out = json::array();
+    for (const auto& [bucket, weight] : h.buckets())
+        out.push_back({bucket, std::round(weight * 1000.0) / 1000.0});
+    return out;
+}
+
+bool decode_histogram(const json& in, log_histogram& out)
+{
+    for (const json& row : in) {
+        const double weight = row.at(1).get<double>();
+        // Weights are rounded when they are stored.
+        if (weight != 0.0 && !out.restore_bucket(row.at(0).get<std::size_t>(), weight))
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+run_class class_of(const queue_id& queue, const step_spec& step)
+{
+    run_class out{queue, step.image, 0};
+    if (step.need.milli_cpu > 0)
+        out.size = static_cast<int>(std::lround(std::log2(static_cast<double>(step.need.milli_cpu))));
+    return out;
+}
+
+run_time_model::history& run_time_model::history_of(const run_class& tasks)
+{
+    const auto known = classes_.find(tasks);
+    if (known != classes_.end())
+        return known->second;
+    if (classes_.size() >= settings_.max_classes) {
+        const auto least =
+            std::min_element(classes_.begin(), classes_.end(), [](const auto& a, const auto& b) {
+                return a.second.seconds.weight() < b.second.seconds.weight();
+            });
+        classes_.erase(least);
+    }
+    return classes_[tasks];
+}
+
+void run_time_model::record(const run_class& tasks, const target_id& target, duration declared,
+                            duration measured)
+{
+    if (measured.count() <= 0)
+        return;
+    const double expected = seconds_of(expect(tasks, declared).typical);
+    const double usual = seconds_of(measured) / slowness(target);
+    for (history* h : {&history_of(tasks), &queues_[tasks.queue]}) {
+        h->seconds.add(usual);
+        if (declared.count() > 0)
+            h->ratio.add(usual / seconds_of(declared));
+    }
+    ++changes_;
+    if (expected <= 0.0)
+        return;
+    target_history& t = targets_[target];
+    const double deviation = std::clamp(std::log2(seconds_of(measured) / expected),
+                                        -settings_.largest_deviation, settings_.largest_deviation);
+    sum_of_means_ -= t.mean();
+    t.octaves = t.octaves * settings_.target_decay + deviation;
+    t.weight = t.weight * settings_.target_decay + 1.0;
+    sum_of_means_ += t.mean();
+    ++t.runs;
+}
+
+run_expectation run_time_model::refine(const run_expectation& broader, const history& h,
+                                       duration declared) const
+{
+    if (h.seconds.weight() <= 0.0)
+        return broader;
+    const double declared_s = seconds_of(declared);
+    // The declaration helps if it explains a part of the differences between the runs.
+    const bool use_declared = declared_s > 0.0 && h.ratio.weight() >= settings_.trusted_weight / 2.0 &&
+                              h.ratio.spread() < h.seconds.spread();
+    const log_histogram& source = use_declared ? h.ratio : h.seconds;
+    const double unit = use_declared ? declared_s : 1.0;
+    const double typical = unit * source.trimmed_mean();
+    const double late = std::max(typical, unit * source.quantile(settings_.late_quantile));
+    const double trust = std::min(1.0, h.seconds.weight() / settings_.trusted_weight);
+    if (broader.typical.count() <= 0)
+        return {duration_of(typical), duration_of(late)};
+    return {duration_of(blend(seconds_of(broader.typical), typical, trust)),
+            duration_of(blend(seconds_of(broader.late), late, trust))};
+}
+
+run_expectation run_time_model::expect(const run_class& tasks, duration declared) const
+{
+    run_expectation out{declared, declared};
+    const auto queue = queues_.find(tasks.queue);
+    if (queue != queues_.end())
+        out = refine(out, queue->second, declared);
+    const auto known = classes_.find(tasks);
+    return known == classes_.end() ? out : refine(out, known->second, declared);
+}
+
+double run_time_model::slowness(const target_id& target) const
+{
+    const auto it = targets_.find(target);
+    if (it == targets_.end() || it->second.runs < settings_.trusted_runs_of_target)
+        return 1.0;
+    return std::exp2(it->second.mean() - sum_of_means_ / static_cast<double>(targets_.size()));
+}
+
+void run_time_model::forget_target(const target_id& target)
+{
+    const auto it = targets_.find(target);
+    if (it == targets_.end())
+        return;
+    sum_of_means_ -= it->second.mean();
+    targets_.erase(it);
+}
+
+std::string run_time_model::encode() const
+{
+    json rows = json::array();
+    for (const auto& [queue, h] : queues_)
+        rows.push_back({queue.str(), nullptr, 0, encode_histogram(h.seconds), encode_histogram(h.ratio)});
+    for (const auto& [tasks, h] : classes_)
+        rows.push_back({tasks.queue.str(), tasks.image, tasks.size, encode_histogram(h.seconds),
+                        encode_histogram(h.ratio)});
+    return rows.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<run_time_model> run_time_model::decode(std::string_view text, run_time_settings settings)
+{
+    const json rows = json::parse(text, nullptr, false);
+    if (!rows.is_array())
+        return std::nullopt;
+    run_time_model out{settings};
+    try {
+        for (const json& row : rows) {
+            const queue_id queue{row.at(0).get<std::string>()};
+            history h;
+            if (!decode_histogram(row.at(3), h.seconds) || !decode_histogram(row.at(4), h.ratio))
+                return std::nullopt;
+            if (row.at(1).is_null())
+                out.queues_[queue] = h;
+            else if (out.classes_.size() < settings.max_classes)
+                out.classes_[{queue, row.at(1).get<std::string>(), row.at(2).get<int>()}] = h;
+        }
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+    return out;
+}
+
+} // namespace mjm
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -329,6 +329,7 @@
         step_times& times = open.times[end.task.position.step];
         ++times.done;
         times.total += time.now - it.run->ordered_at;
+        learn_run_time(open, end.task.position, time.now);
     }
     if (it.run) {
         release_capacity(open, end.task.position, *it.run);
--- /dev/null
+++ b/src/plugins/jobs/scheduler_run_times.cpp
@@ -0,0 +1,42 @@
+#include "jobs/job_scheduler.h"
+
+namespace mjm {
+
+void job_scheduler::expect_run_times(open_job& open) const
+{
+    if (!settings_.learn_run_times)
+        return;
+    job& j = *open.state;
+    for (std::uint32_t s = 0; s < j.record().spec.steps.size(); ++s) {
+        const step_spec& step = j.step(s);
+        if (!step.permanent)
+            j.set_expected_run_time(
+                s, run_times_.expect(class_of(j.record().queue, step), step.estimate).typical);
+    }
+}
+
+duration job_scheduler::expected_at_most(const open_job& open, std::uint32_t step) const
+{
+    const step_spec& it = open.state->step(step);
+    if (!settings_.learn_run_times)
+        return it.estimate;
+    return run_times_.expect(class_of(open.state->record().queue, it), it.estimate).late;
+}
+
+void job_scheduler::learn_run_time(const open_job& open, const task_position& p, timestamp now)
+{
+    const step_spec& step = open.state->step(p.step);
+    const task& it = open.state->at(p);
+    target_status* t = find_target(it.run->target);
+    // A run that goes on from a checkpoint, or away from its data, tells little about a whole one.
+    const bool away = step.rack_sensitive ||
+                      (!step.data_rack.empty() && t != nullptr && t->info.rack.str() != step.data_rack);
+    if (!settings_.learn_run_times || step.permanent || step.backfill || t == nullptr || away ||
+        !it.checkpoint.empty())
+        return;
+    run_times_.record(class_of(open.state->record().queue, step), it.run->target, step.estimate,
+                      now - it.run->ordered_at);
+    t->slowness = run_times_.slowness(it.run->target);
+}
+
+} // namespace mjm
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -3,6 +3,7 @@
 #include "core/time_types.h"
 #include "jobs/crash_history.h"
 #include "jobs/lease_policy.h"
+#include "jobs/run_time_model.h"
 #include "jobs/straggler.h"
 
 #include <cstdint>
@@ -52,6 +53,10 @@
     duration ranking_interval{std::chrono::milliseconds{100}};
     /// Interval between two checks of all runs for stops without an answer.
     duration run_check_interval{std::chrono::milliseconds{100}};
+    /// Whether expected run times are learned from finished runs. Otherwise they are those that callers
+    /// declare.
+    bool learn_run_times = true;
+    run_time_settings run_times;
     straggler_settings stragglers;
     crash_settings crashes;
     /// Maximum number of attempts of a task whose queue is not configured, if its record does not tell.
--- a/src/plugins/jobs/scheduler_stragglers.cpp
+++ b/src/plugins/jobs/scheduler_stragglers.cpp
@@ -28,7 +28,8 @@
     const step_spec& step = open.state->step(p.step);
     std::optional<duration> bound = straggler_bound(open.times[p.step], step.tasks, settings_.stragglers);
     if (now < t.suspect_until) {
-        const std::optional<duration> overdue = overdue_bound(step.estimate, settings_.stragglers);
+        const std::optional<duration> overdue =
+            overdue_bound(expected_at_most(open, p.step), settings_.stragglers);
         if (overdue && (!bound || *overdue < *bound))
             bound = overdue;
     }
@@ -66,7 +67,8 @@
     std::optional<duration> bound = stall_bound(open, p, t, now);
     const step_spec& step = open.state->step(p.step);
     if (!bound && step.tasks > 1)
-        bound = expected_straggler_bound(age, step.estimate, open.times[p.step], settings_.stragglers);
+        bound = expected_straggler_bound(age, open.state->expected_run_time(p.step), open.times[p.step],
+                                         settings_.stragglers);
     if (!bound)
         return settings_.observation_wait;
     // A target with a slow clock shows the age later.
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -78,7 +78,8 @@
     int failures_in_a_row = 0; ///< Failed runs since the last success; successive ones of a job count once.
     job_id last_failed_job;
     timestamp avoid_until;   ///< No task is placed on the target before this time.
-    timestamp suspect_until; ///< Until then, a declared run time suffices to tell that a run is stalled.
+    timestamp suspect_until; ///< Until then, an expected run time suffices to tell that a run is stalled.
+    double slowness = 1.0;   ///< Factor by which runs take longer here than on other targets.
 
     /// Whether the target is to stay, so that its end is a crash.
     [[nodiscard]] bool expected_to_stay() const
--- a/src/plugins/scheduling/log_histogram.cpp
+++ b/src/plugins/scheduling/log_histogram.cpp
@@ -70,4 +70,23 @@
     return sum / weight_;
 }
 
+std::vector<std::pair<std::size_t, double>> log_histogram::buckets() const
+{
+    std::vector<std::pair<std::size_t, double>> out;
+    for (std::size_t n = 0; n < bucket_count; ++n) {
+        if (buckets_[n] > 0.0)
+            out.emplace_back(n, buckets_[n]);
+    }
+    return out;
+}
+
+bool log_histogram::restore_bucket(std::size_t bucket, double weight)
+{
+    if (bucket >= bucket_count || !std::isfinite(weight) || weight <= 0.0)
+        return false;
+    buckets_[bucket] += weight;
+    weight_ += weight;
+    return true;
+}
+
 } // namespace mjm
--- a/src/plugins/scheduling/log_histogram.h
+++ b/src/plugins/scheduling/log_histogram.h
@@ -2,6 +2,8 @@
 
 #include <array>
 #include <cstddef>
+#include <utility>
+#include <vector>
 
 namespace mjm {
 
@@ -21,6 +23,11 @@
     [[nodiscard]] double trimmed_mean() const;
     /// Returns the mean distance from the median in octaves.
     [[nodiscard]] double spread() const;
+    /// Returns the number and the weight of each bucket that is not empty.
+    [[nodiscard]] std::vector<std::pair<std::size_t, double>> buckets() const;
+    /// Adds weight to a bucket. Returns false, and adds nothing, if there is no such bucket or the weight is
+    /// not a positive number.
+    [[nodiscard]] bool restore_bucket(std::size_t bucket, double weight);
 
 private:
     static constexpr std::size_t bucket_count = 128;
