--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -11,6 +11,12 @@
 constexpr double pace_limited_penalty = 3.0;
 constexpr double cold_penalty = 5.0;
 constexpr double wrong_rack_penalty = 10.0;
+// For each time the usual run time that a run takes longer; as for a rack on which it takes twice as long.
+constexpr double slow_target_penalty = 10.0;
+// Smaller differences don't outweigh an even filling of the targets.
+constexpr double noticeable_slowness = 1.3;
+// Keeps the penalty of a slow target below those of the next kinds.
+constexpr double largest_slow_penalty = 10.0;
 constexpr double concentrated_penalty = 30.0;
 constexpr double maintained_soon_penalty = 50.0;
 constexpr double avoided_penalty = 100.0;
@@ -47,6 +53,8 @@
     // A permanent task outlasts the time for which its target is cold.
     if (!step.permanent && now < t.info.warm_at)
         result += cold_penalty;
+    if (!step.permanent && t.slowness >= noticeable_slowness)
+        result += std::min(slow_target_penalty * (t.slowness - 1.0), largest_slow_penalty);
     // A host with more tasks of a step than may be unavailable at a time can't be maintained.
     if (step.max_unavailable != 0 && request.step_runs != nullptr) {
         const auto it = request.step_runs->find(t.info.id);
