Log the runs of a sample of the jobs only

The lines about the usual life of a job and about its runs have level info for job_log_percent of the jobs (2 by default), chosen by a hash of the id, so that the log of such a job is whole also across leaders; for other jobs they have level debug. Failed and given up jobs, refusals, and what concerns targets, hosts, the store or the leader are always logged. No field is formatted for a line that isn't written, and the counters of orders are looked up once.

--- a/src/libs/logging/logger.h
+++ b/src/libs/logging/logger.h
@@ -20,6 +20,9 @@
 
     using fields = std::initializer_list<log_field>;
 
+    /// Whether lines of this level are written, so that a caller need not prepare the fields of others.
+    [[nodiscard]] bool enabled(log_level level) const { return sink_->enabled(level); }
+
     /// `event` is a value of an enum with a name table, or a short fixed name.
     template <typename Event>
     void write(log_level level, const Event& event, fields values = {}) const
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -36,9 +36,11 @@
 job_leader::job_leader(job_leader_settings settings, job_leader_services services, fencing_token token,
                        std::shared_ptr<const fleet_config> config, std::function<timestamp()> lease_until,
                        std::function<void(const std::string&)> superseded)
-    : settings_{settings}, services_{std::move(services)}, token_{token},
-      lease_until_{std::move(lease_until)}, superseded_{std::move(superseded)},
-      scheduler_{settings.scheduling, token, now(), [this](const scheduler_log_entry& n) { log_event(n); }},
+    : settings_{settings}, services_{std::move(services)}, token_{token}, lease_until_{std::move(
+                                                                              lease_until)},
+      superseded_{std::move(superseded)}, events_{services_.log, services_.metrics, settings.job_log_percent},
+      scheduler_{settings.scheduling, token, now(),
+                 [this](const scheduler_log_entry& n) { events_.on_event(n); }},
       journal_{services_.store,
                services_.time,
                token,
@@ -58,10 +60,6 @@
                 [this](tl::expected<void, store_errc> reachability) {
                     log_store_reachability(services_.log, "journal", reachability);
                 }}},
-      first_start_seconds_{services_.metrics.histogram(
-          "mjm_first_start_seconds",
-          "Time from the acceptance of a job to the choice of a target for a task's first run.",
-          delay_bounds)},
       start_delay_seconds_{services_.metrics.histogram(
           "mjm_start_delay_seconds",
           "Time from the choice of a target for a run to the order that starts it.", delay_bounds)},
@@ -74,10 +72,6 @@
       cancel_view_age_seconds_{view_age_gauge(services_.metrics, "cancellations")},
       config_view_age_seconds_{view_age_gauge(services_.metrics, "configuration")}
 {
-    for (const auto& [event, name] : enum_names<scheduler_event>::entries)
-        event_counters_.emplace(event, services_.metrics.counter("mjm_scheduler_events_total",
-                                                                 "The leader's decisions and observations.",
-                                                                 {{"event", std::string{name}}}));
     if (services_.hosts != nullptr) {
         hosts_ = std::make_unique<host_manager>(settings_.hosts,
                                                 host_manager_services{scheduler_, *services_.hosts,
@@ -427,30 +421,19 @@
                 request_pass();
             }));
     } else if (const stop_command* stop = std::get_if<stop_command>(&command)) {
-        services_.orders.stop(
-            stop->target, stop->task, stop->run, token_,
-            guarded([this, target = stop->target.id, task = stop->task,
-                     run = stop->run](const tl::expected<order_answer, order_errc>& answer) {
-                count_answer("stop", answer);
-                const bool changed = scheduler_.on_stop_answer(target, task, run, answer, now());
-                if (changed && !answer)
-                    services_.log.warn("stop_refused", {{"task", to_string(task)},
-                                                        {"run", run},
-                                                        {"target", target},
-                                                        {"error", name_of(answer.error())}});
-                else if (changed)
-                    services_.log.info("stop_confirmed",
-                                       {{"task", to_string(task)}, {"run", run}, {"target", target}});
-                request_pass();
-            }));
+        services_.orders.stop(stop->target, stop->task, stop->run, token_,
+                              guarded([this, target = stop->target.id, task = stop->task, run = stop->run](
+                                          const tl::expected<order_answer, order_errc>& answer) {
+                                  const bool changed =
+                                      scheduler_.on_stop_answer(target, task, run, answer, now());
+                                  events_.on_stop_answer(task, run, target, answer, changed);
+                                  request_pass();
+                              }));
     } else if (const pace_command* pace = std::get_if<pace_command>(&command)) {
-        services_.log.info("pace_changed", {{"task", to_string(pace->task)},
-                                            {"run", pace->run},
-                                            {"target", pace->target.id},
-                                            {"percent", pace->percent}});
+        events_.on_pace(*pace);
         services_.orders.pace(pace->target, pace->task, pace->run, pace->percent, token_,
                               guarded([this](const tl::expected<order_answer, order_errc>& answer) {
-                                  count_answer("pace", answer);
+                                  events_.on_pace_answer(answer);
                               }));
     }
 }
@@ -528,35 +511,4 @@
     return scheduler_.waiting_jobs(queue);
 }
 
-void job_leader::count_event(const scheduler_log_entry& n)
-{
-    event_counters_.at(n.event).add();
-    if (n.event == scheduler_event::job_finished)
-        services_.metrics
-            .histogram("mjm_job_seconds", "Time from the acceptance of a job to its end.",
-                       {0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0}, {{"state", n.reason}})
-            .observe(static_cast<double>(n.age_ms) / 1000.0);
-    if (n.event == scheduler_event::run_planned && n.run == 1)
-        first_start_seconds_.observe(static_cast<double>(n.age_ms) / 1000.0);
-}
-
-void job_leader::count_answer(const char* order, const tl::expected<order_answer, order_errc>& answer)
-{
-    services_.metrics
-        .counter("mjm_orders_total", "Orders to targets by outcome.",
-                 {{"order", order}, {"outcome", answer ? "done" : std::string{name_of(answer.error())}}})
-        .add();
-}
-
-void job_leader::log_event(const scheduler_log_entry& n)
-{
-    count_event(n);
-    services_.log.info(n.event, {{"job", n.job},
-                                 {"task", n.task},
-                                 {"run", n.run},
-                                 {"target", n.target},
-                                 {"reason", n.reason},
-                                 {"age_ms", n.age_ms}});
-}
-
 } // namespace mjm
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -5,6 +5,7 @@
 #include "jobs/guarded_callback.h"
 #include "jobs/host_manager.h"
 #include "jobs/job_scheduler.h"
+#include "jobs/leader_events.h"
 #include "jobs/prefix_watch.h"
 #include "jobs/progress_journal.h"
 #include "jobs/target_directory.h"
@@ -33,6 +34,7 @@
     duration revision_interval{std::chrono::milliseconds{250}};
     /// Delay before a failed read is repeated while taking over.
     duration retry{std::chrono::milliseconds{150}};
+    int job_log_percent = 2; ///< Share of the jobs whose every run is logged at level `info`.
 };
 
 struct job_leader_services {
@@ -98,9 +100,6 @@
     void send(const target_command& command);
     void send_observations();
     void remove_expired_jobs();
-    void log_event(const scheduler_log_entry& n);
-    void count_event(const scheduler_log_entry& n);
-    void count_answer(const char* order, const tl::expected<order_answer, order_errc>& answer);
     [[nodiscard]] scheduler_time now() const;
     template <typename Function>
     auto guarded(Function f)
@@ -113,13 +112,12 @@
     const fencing_token token_;
     const std::function<timestamp()> lease_until_;
     const std::function<void(const std::string&)> superseded_;
+    leader_events events_;
     job_scheduler scheduler_;
     progress_journal journal_;
     std::unique_ptr<host_manager> hosts_; ///< Null where hosts can't be moved or maintained.
     std::unique_ptr<prefix_watch> inbox_;
-    std::map<job_id, std::string> stored_progress_;            ///< Read while taking over; empty once loaded.
-    std::map<scheduler_event, metric_counter> event_counters_; ///< Looked up once, since events are frequent.
-    metric_histogram first_start_seconds_;
+    std::map<job_id, std::string> stored_progress_; ///< Read while taking over; empty once loaded.
     metric_histogram start_delay_seconds_;
     metric_histogram cancel_delay_seconds_;
     metric_counter extended_leases_;
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -42,7 +42,7 @@
                               const target_id& target, std::string reason, std::int64_t age_ms)
 {
     if (log_handler_)
-        log_handler_({event, id, task == nullptr ? std::string{} : to_string(*task), run, target,
+        log_handler_({event, id, task == nullptr ? std::nullopt : std::optional{*task}, run, target,
                       std::move(reason), age_ms});
 }
 
--- a/src/plugins/jobs/scheduler_events.h
+++ b/src/plugins/jobs/scheduler_events.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -67,7 +68,7 @@
 struct scheduler_log_entry {
     scheduler_event event = scheduler_event::job_added;
     job_id job;
-    std::string task;
+    std::optional<task_key> task;
     run_number run = 0;
     target_id target;
     std::string reason;
