Remove work that grows with all targets and jobs from a leader's passes

Each pass searched all targets for due observations, each placement looked at all targets of the pool, and each planning round for hosts counted the tasks of all open jobs, seven times a second.

The search for due observations has an interval that rises with the number of targets (0.5 ms for each 100; none below 100). A plan drops the targets first on which no waiting task fits. The part of a job in its pool's demand is kept until the job changes. Jobs are found by hash; the runs of a target are visited without a copy of their keys, and a report's runs are searched in a sorted list. A job's progress is written without building a document; its text is the same.

--- a/src/plugins/jobs/job_codec.cpp
+++ b/src/plugins/jobs/job_codec.cpp
@@ -2,6 +2,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
 namespace mjm {
 
 namespace {
@@ -68,17 +73,47 @@
     return s;
 }
 
-json encode_task(const task_position& p, const task& t)
+void append_number(std::string& out, std::int64_t value)
 {
-    json row = json::array({p.occurrence, p.step, p.index, t.done ? 1 : 0, t.last_run, t.failures,
-                            t.done ? "" : t.checkpoint, t.ended_run});
+    std::array<char, 24> buf{};
+    const std::to_chars_result end = std::to_chars(buf.data(), buf.data() + buf.size(), value);
+    out.append(buf.data(), end.ptr);
+}
+
+void append_text(std::string& out, std::string_view text)
+{
+    const bool plain = std::all_of(text.begin(), text.end(),
+                                   [](char c) { return c >= ' ' && c <= '~' && c != '"' && c != '\\'; });
+    if (plain)
+        out.append(1, '"').append(text).append(1, '"');
+    else
+        out += json(text).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+/// Appends a task's row of the stored progress. It is built without a document, since a job is written again
+/// with each of its changes.
+void append_task(std::string& out, const task_position& p, const task& t)
+{
+    out += '[';
+    for (const std::int64_t value :
+         {std::int64_t{p.occurrence}, std::int64_t{p.step}, std::int64_t{p.index},
+          std::int64_t{t.done ? 1 : 0}, std::int64_t{t.last_run}, std::int64_t{t.failures}}) {
+        append_number(out, value);
+        out += ',';
+    }
+    append_text(out, t.done ? std::string_view{} : t.checkpoint);
+    out += ',';
+    append_number(out, t.ended_run);
     if (t.run) {
-        row.push_back(t.run->number);
-        row.push_back(t.run->target.str());
-        row.push_back(t.run->incarnation);
-        row.push_back(t.run->on_probation ? 0 : 1);
+        out += ',';
+        append_number(out, t.run->number);
+        out += ',';
+        append_text(out, t.run->target.str());
+        out += ',';
+        append_number(out, t.run->incarnation);
+        out += t.run->on_probation ? ",0" : ",1";
     }
-    return row;
+    out += ']';
 }
 
 json encode_crashes(const task_position& p, const crash_history& h)
@@ -167,27 +202,34 @@
 
 std::string encode_progress(const job& j)
 {
-    json out{{"state", name_of(j.state())}, {"started", j.started()}};
+    std::string out = R"({"state":)";
+    append_text(out, name_of(j.state()));
+    out += j.started() ? R"(,"started":true)" : R"(,"started":false)";
     if (!is_final(j.state())) {
-        json rows = json::array();
+        out += R"(,"tasks":[)";
+        bool first = true;
         json crashes = json::array();
         const job_spec& spec = j.record().spec;
         for (std::uint32_t k = 0; k < spec.occurrences; ++k) {
             for (std::uint32_t s = 0; s < spec.steps.size(); ++s) {
                 for (std::uint32_t n = 0; n < spec.steps[s].tasks; ++n) {
                     const task_position p{k, s, n};
-                    if (j.at(p).last_run != 0)
-                        rows.push_back(encode_task(p, j.at(p)));
-                    if (!j.at(p).crashes.empty())
-                        crashes.push_back(encode_crashes(p, j.at(p).crashes));
+                    const task& t = j.at(p);
+                    if (t.last_run != 0) {
+                        if (!std::exchange(first, false))
+                            out += ',';
+                        append_task(out, p, t);
+                    }
+                    if (!t.crashes.empty())
+                        crashes.push_back(encode_crashes(p, t.crashes));
                 }
             }
         }
-        out["tasks"] = std::move(rows);
+        out += ']';
         if (!crashes.empty())
-            out["crashes"] = std::move(crashes);
+            out.append(R"(,"crashes":)").append(crashes.dump());
     }
-    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+    return out + '}';
 }
 
 bool restore_progress(job& j, std::string_view text)
--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr std::chrono::seconds removal_interval{5};
+// Interval between two searches for due observations for each `targets_per_interval` targets, so that their
+// share of the time doesn't grow with the number of targets. Smaller fleets are searched at each event.
+constexpr std::chrono::microseconds search_interval{500};
+constexpr std::size_t targets_per_interval = 100;
 const std::vector<double> delay_bounds{0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0};
 
 metric_gauge view_age_gauge(metric_registry& metrics, const char* view)
@@ -441,6 +445,10 @@
 void job_leader::send_observations()
 {
     const timestamp at = services_.time.now();
+    if (at < next_observation_search_)
+        return;
+    next_observation_search_ =
+        at + search_interval * static_cast<std::int64_t>(scheduler_.targets().size() / targets_per_interval);
     for (const target_id& id : scheduler_.due_observations(at)) {
         const lease_request request = scheduler_.begin_observation(id, at);
         if (request.deadline_ms != 0)
--- a/src/plugins/jobs/job_leader.h
+++ b/src/plugins/jobs/job_leader.h
@@ -128,6 +128,7 @@
     std::map<job_id, timestamp> finished_at_; ///< When each job in a final state was first seen as such.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     timestamp next_removal_;
+    timestamp next_observation_search_;
     timestamp next_revision_read_;
     timestamp next_load_;
     std::optional<std::string> load_after_; ///< Key after which a failed read of progress is to be repeated.
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -155,18 +155,6 @@
     return out;
 }
 
-std::size_t job_scheduler::waiting_jobs(const queue_id& queue) const
-{
-    std::size_t n = 0;
-    for (const auto& [service, it] : queues_) {
-        n += static_cast<std::size_t>(std::count_if(it.jobs.begin(), it.jobs.end(), [&](const auto& entry) {
-            const job& j = *entry.second->state;
-            return j.record().queue == queue && !j.started() && !j.cancelled();
-        }));
-    }
-    return n;
-}
-
 void job_scheduler::set_config(std::shared_ptr<const fleet_config> config)
 {
     config_ = std::move(config);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -19,6 +19,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace mjm {
@@ -149,6 +151,7 @@
         std::size_t active_runs = 0;
         std::optional<work_rank> waiting_rank; ///< Rank under which the job is in its service's queue.
         bool changed = false;                  ///< Whether the job is in `changed_jobs_`.
+        std::optional<pool_demand> demand;     ///< Empty if the job has changed since it was computed.
         /// By step: number of runs on each target.
         std::vector<std::map<target_id, std::uint32_t>> step_runs;
         std::vector<step_times> times; ///< By step: run times of tasks that are done.
@@ -236,11 +239,15 @@
     template <typename Visit>
     void for_runs(const target_status& t, Visit visit)
     {
-        const std::set<task_key> runs = t.runs;
-        for (const task_key& key : runs) {
-            open_job* open = find_open(key.job);
-            if (open != nullptr && open->state->at(key.position).run)
-                visit(*open, key.position, *open->state->at(key.position).run);
+        std::vector<std::pair<open_job*, task_position>> runs;
+        runs.reserve(t.runs.size());
+        for (const task_key& key : t.runs) {
+            if (open_job* open = find_open(key.job))
+                runs.emplace_back(open, key.position);
+        }
+        for (const auto& [open, p] : runs) {
+            if (open->state->at(p).run)
+                visit(*open, p, *open->state->at(p).run);
         }
     }
 
@@ -254,7 +261,7 @@
     void refresh_ranks(service_queue& queue, scheduler_time time);
 
     // scheduler_hosts.cpp
-    void add_demand(const open_job& open, pool_demand& demand) const;
+    [[nodiscard]] static pool_demand demand_of_job(job& j);
     /// Whether the predicate is true for the step of any run on the target.
     [[nodiscard]] bool any_step_on(const target_id& id, bool (*predicate)(const step_spec&)) const;
     /// Whether the task runs at full pace on a reachable target whose runs are not about to be ended.
@@ -439,7 +446,7 @@
     std::uint64_t given_up_stored_ = 0; ///< Number of the latest change of `given_up_` that the store has.
     const log_handler log_handler_;
     std::shared_ptr<const fleet_config> config_;
-    std::map<job_id, open_job> jobs_;
+    std::unordered_map<job_id, open_job> jobs_;
     std::map<service_id, service_queue> queues_;
     std::vector<open_job*> changed_jobs_;
     std::map<target_id, target_status> targets_;
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -68,9 +68,9 @@
     t.ordered_down_at = {};
 }
 
-void job_scheduler::add_demand(const open_job& open, pool_demand& demand) const
+pool_demand job_scheduler::demand_of_job(job& j)
 {
-    job& j = *open.state;
+    pool_demand demand;
     const std::size_t steps = j.record().spec.steps.size();
     std::vector<std::int64_t> running(steps, 0);
     std::vector<std::int64_t> waiting(steps, 0);
@@ -93,8 +93,9 @@
         if (width.milli_cpu > later.milli_cpu)
             later = width;
     }
-    demand.present += now;
-    demand.total += later.milli_cpu > now.milli_cpu ? later : now;
+    demand.present = now;
+    demand.total = later.milli_cpu > now.milli_cpu ? later : now;
+    return demand;
 }
 
 pool_demand job_scheduler::demand_of(const service_id& service) const
@@ -104,8 +105,13 @@
     if (queue == queues_.end())
         return demand;
     for (const auto& [id, it] : queue->second.jobs) {
-        if (!it->state->cancelled())
-            add_demand(*it, demand);
+        if (it->state->cancelled())
+            continue;
+        if (!it->demand)
+            it->demand = demand_of_job(*it->state);
+        demand.total += it->demand->total;
+        demand.present += it->demand->present;
+        demand.waiting += it->demand->waiting;
     }
     return demand;
 }
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -87,9 +87,11 @@
     if (pool.empty())
         return;
     plan_isolated_tasks(service, pool, time);
-    unsatisfiable_needs unsatisfiable{pool};
-    if (unsatisfiable.covers(queue.smallest_need))
+    // Free capacity only shrinks from here on.
+    std::erase_if(pool, [&queue](const target_status* t) { return !queue.smallest_need.fits_in(t->free()); });
+    if (pool.empty())
         return;
+    unsatisfiable_needs unsatisfiable{pool};
     refresh_ranks(queue, time);
     // Planning a job changes its rank only at the next `update_queues`.
     for (const ranked_job& it : queue.waiting) {
--- a/src/plugins/jobs/scheduler_queue.cpp
+++ b/src/plugins/jobs/scheduler_queue.cpp
@@ -24,6 +24,7 @@
 
 void job_scheduler::note_changed(open_job& open)
 {
+    open.demand.reset();
     if (std::exchange(open.changed, true))
         return;
     changed_jobs_.push_back(&open);
@@ -75,4 +76,16 @@
         rank(queue, *it.open, time);
 }
 
+std::size_t job_scheduler::waiting_jobs(const queue_id& queue) const
+{
+    std::size_t n = 0;
+    for (const auto& [service, it] : queues_) {
+        n += static_cast<std::size_t>(std::count_if(it.jobs.begin(), it.jobs.end(), [&](const auto& entry) {
+            const job& j = *entry.second->state;
+            return j.record().queue == queue && !j.started() && !j.cancelled();
+        }));
+    }
+    return n;
+}
+
 } // namespace mjm
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_scheduler.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace mjm {
@@ -388,10 +389,11 @@
 void job_scheduler::reconcile_runs(target_status& t, const target_report& report, timestamp sent_at,
                                    scheduler_time time)
 {
-    std::set<std::pair<task_key, run_number>> listed;
+    std::vector<const listed_run*> listed;
+    listed.reserve(report.running.size());
     const unknown_run_map unknown_before = std::exchange(t.unknown_runs, {});
     for (const listed_run& r : report.running) {
-        listed.emplace(r.task, r.run);
+        listed.push_back(&r);
         open_job* open = find_open(r.task.job);
         task* it = open != nullptr && open->state->contains(r.task.position)
                        ? &open->state->at(r.task.position)
@@ -431,13 +433,19 @@
     if (std::any_of(unknown_before.begin(), unknown_before.end(),
                     [&t](const auto& entry) { return !t.unknown_runs.contains(entry.first); }))
         plan_needed_.insert(t.info.service);
+    std::sort(listed.begin(), listed.end(), [](const listed_run* a, const listed_run* b) {
+        return std::tie(a->task, a->run) < std::tie(b->task, b->run);
+    });
     std::vector<task_key> lost;
     std::vector<task_key> in_flight;
     for_runs(t, [&](open_job& open, const task_position& p, task_run& run) {
         const task_key key{open.state->id(), p};
         if (stop_failed(run, settings_.stop_retry, time.now))
             send_stop(key, run, time.now);
-        if (listed.contains({key, run.number}))
+        const auto it = std::lower_bound(
+            listed.begin(), listed.end(), std::tie(key, run.number),
+            [](const listed_run* r, const auto& wanted) { return std::tie(r->task, r->run) < wanted; });
+        if (it != listed.end() && (*it)->task == key && (*it)->run == run.number)
             return;
         const absence meaning = meaning_of_absence(run, report, sent_at);
         if (meaning == absence::lost)
--- a/src/plugins/jobs/tests/tst_job_decisions.cpp
+++ b/src/plugins/jobs/tests/tst_job_decisions.cpp
@@ -201,6 +201,31 @@
     CHECK_FALSE(decode_job(record.id, "not json"));
 }
 
+// Guards against progress that a next leader can't read, since a target's text isn't plain.
+TEST_CASE("checkpoints with any characters are restored from the stored progress")
+{
+    job_record record;
+    record.id = job_id{"j"};
+    step_spec step;
+    step.tasks = 3;
+    record.spec.steps.push_back(step);
+    job j{record};
+    const std::vector<std::string> checkpoints{"a\"b\\c", "line\n\x01", "caf\xc3\xa9"};
+    for (std::uint32_t n = 0; n < 3; ++n) {
+        j.at({0, 0, n}).last_run = 1;
+        j.at({0, 0, n}).checkpoint = checkpoints[n];
+    }
+    j.at({0, 0, 2}).crashes.crashes = 2;
+    job restored{record};
+    REQUIRE(restore_progress(restored, encode_progress(j)));
+    for (std::uint32_t n = 0; n < 3; ++n)
+        CHECK(restored.at({0, 0, n}).checkpoint == checkpoints[n]);
+    CHECK(restored.at({0, 0, 2}).crashes.crashes == 2);
+    // A target's text may not be UTF-8; the progress stays readable even so.
+    j.at({0, 0, 1}).checkpoint = "\xff";
+    CHECK(restore_progress(restored, encode_progress(j)));
+}
+
 TEST_CASE("task keys are parsed from their end")
 {
     const task_key key{job_id{"a.b"}, {1, 2, 3}};
