Raise the fencing token with each incarnation of a target

An order names its target by id and its leader by token, and both are the same in the next incarnation of a target that comes back under its id.

The token of the orders to a target now rises once for each incarnation that becomes known, to the revision of the latest transaction of progress, which lies below the tokens of all later leaders. A refusal of an own order that was overtaken is told from that of a newer leader. The lease of a new incarnation counts as the longest one, since a late extension may have reached it.

--- a/src/plugins/jobs/job_leader.cpp
+++ b/src/plugins/jobs/job_leader.cpp
@@ -48,7 +48,7 @@
                         scheduler_.on_waits_stored(*batch.waits);
                     if (batch.given_up)
                         scheduler_.on_given_up_runs_stored(*batch.given_up);
-                    scheduler_.on_stored(batch.progress, now());
+                    scheduler_.on_stored(batch.progress, now(), batch.revision);
                     request_pass();
                 },
                 [this](const std::string& why) {
@@ -402,8 +402,7 @@
         std::optional<lease_waits> waits = scheduler_.take_unstored_waits(services_.time.now());
         std::optional<given_up_record> given_up = scheduler_.unstored_given_up_runs();
         if (scheduler_.has_unstored() || waits || given_up)
-            journal_.write(
-                {scheduler_.unstored(progress_journal::capacity()), std::move(waits), std::move(given_up)});
+            journal_.write({scheduler_.unstored(progress_journal::capacity()), waits, std::move(given_up)});
     }
     for (const target_command& command : scheduler_.take_commands(now()))
         send(command);
@@ -428,7 +427,7 @@
             }));
     } else if (const stop_command* stop = std::get_if<stop_command>(&command)) {
         services_.orders.stop(
-            stop->target, stop->task, stop->run, token_,
+            stop->target, stop->task, stop->run, scheduler_.token_for(stop->target.id),
             guarded([this, target = stop->target.id, task = stop->task,
                      run = stop->run](const tl::expected<order_answer, order_errc>& answer) {
                 count_answer("stop", answer);
@@ -448,7 +447,8 @@
                                             {"run", pace->run},
                                             {"target", pace->target.id},
                                             {"percent", pace->percent}});
-        services_.orders.pace(pace->target, pace->task, pace->run, pace->percent, token_,
+        services_.orders.pace(pace->target, pace->task, pace->run, pace->percent,
+                              scheduler_.token_for(pace->target.id),
                               guarded([this](const tl::expected<order_answer, order_errc>& answer) {
                                   count_answer("pace", answer);
                               }));
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -33,7 +33,7 @@
 
 job_scheduler::job_scheduler(scheduler_settings settings, fencing_token token, scheduler_time time,
                              log_handler handler)
-    : settings_{settings}, token_{token}, leases_{settings.leases, time.now},
+    : settings_{settings}, token_{token}, latest_token_{token}, leases_{settings.leases, time.now},
       log_handler_{std::move(handler)}, config_{std::make_shared<fleet_config>()}
 {
 }
@@ -187,6 +187,7 @@
         t.lease_wait_stored = stored_waits_.contains(info.id);
         t.next_observation = time.now;
         t.info.id = info.id;
+        t.fence = target_fence{latest_token_, latest_token_ != token_};
         account_restored_runs(t);
         targets_by_service_[info.service].emplace(info.id, &t);
         log_event(scheduler_event::target_added, {}, nullptr, 0, info.id, info.service.str());
@@ -388,8 +389,10 @@
     return out;
 }
 
-void job_scheduler::on_stored(const std::vector<progress_write>& writes, scheduler_time time)
+void job_scheduler::on_stored(const std::vector<progress_write>& writes, scheduler_time time,
+                              fencing_token revision)
 {
+    latest_token_ = std::max(latest_token_, revision);
     for (const progress_write& w : writes) {
         open_job* open = find_open(w.job);
         if (open == nullptr)
@@ -429,12 +432,6 @@
     return std::exchange(commands_, {});
 }
 
-void job_scheduler::discard_runs_of_target(target_status& t, const char* reason, scheduler_time time)
-{
-    for_runs(t,
-             [&](open_job& open, const task_position& p, task_run&) { discard_run(open, p, reason, time); });
-}
-
 void job_scheduler::move_off_draining_targets(scheduler_time time)
 {
     // A leader that may have been replaced can't start the tasks elsewhere.
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -110,9 +110,10 @@
     /// stored with the next progress, or before it, so that no later run starts without them.
     [[nodiscard]] std::optional<given_up_record> unstored_given_up_runs() const;
     void on_given_up_runs_stored(const given_up_record& record);
-    /// Handles the store's confirmation of these writes: planned runs start, and ends are acknowledged to
-    /// targets.
-    void on_stored(const std::vector<progress_write>& writes, scheduler_time time);
+    /// Handles that the store has these writes since `revision`, at which this host led: planned runs start,
+    /// and ends are acknowledged to targets.
+    void on_stored(const std::vector<progress_write>& writes, scheduler_time time,
+                   fencing_token revision = 0);
     /// Returns the commands to be sent now. Starts that are no longer allowed are withdrawn, since any event
     /// may have been handled since they were ordered.
     [[nodiscard]] std::vector<target_command> take_commands(scheduler_time time);
@@ -138,6 +139,7 @@
     /// off draining targets.
     void tick(scheduler_time time);
 
+    [[nodiscard]] fencing_token token_for(const target_id& target) const;
     /// Whether a target has refused an order because it obeys a newer leader.
     [[nodiscard]] bool superseded() const { return superseded_; }
 
@@ -195,7 +197,6 @@
     void log_event(scheduler_event event, const job_id& id, const task_key* task, run_number run,
                    const target_id& target, std::string reason, std::int64_t age_ms = 0);
     void insert_job(std::unique_ptr<job> j);
-    /// Counts a change of the job that must be stored.
     void mark_changed(job& j);
     void resolve_service(open_job& open);
     void reserve_capacity(open_job& open, const task_position& p, task_run& run);
@@ -304,7 +305,6 @@
     /// Notes that the task's run is given up because its target is silent. `suspect` tells whether it may
     /// turn out to be the cause.
     void note_given_up(const open_job& open, const task_position& p, const std::string& host, bool suspect);
-    /// Handles an end that a report lists for the first time.
     void on_listed_end(target_status& t, const listed_end& end, scheduler_time time);
     /// Discards the task's current run, since an earlier one has ended. Returns false if its start may still
     /// be on its way, so that it can't be told when it is over.
@@ -412,7 +412,6 @@
     [[nodiscard]] bool has_stopped_run(const target_status& t) const;
     /// Whether the run's latest stop has failed, and was sent longer than `interval` ago.
     [[nodiscard]] static bool stop_failed(const task_run& run, duration interval, timestamp now);
-    /// Handles that a report doesn't list the run.
     void on_missing_run(open_job& open, const task_position& p, absence meaning, scheduler_time time);
     /// Handles a restart of the target. Unless all its runs are known to belong to former incarnations, the
     /// new one's first report decides which of them are lost.
@@ -420,8 +419,8 @@
     /// Handles that the target's address belongs to another target or incarnation, so that all its runs have
     /// ended.
     void on_other_instance(target_status& t, scheduler_time time);
-    /// Handles an observation that failed.
-    void on_no_report(target_status& t, order_errc ec, scheduler_time time);
+    void on_no_report(target_status& t, order_errc ec, timestamp sent_at, scheduler_time time);
+    void on_fenced_order(target_status* t, scheduler_time time);
     /// Sets the pace of backfill tasks by the tail latencies of the other tasks on the target.
     void adjust_pace(target_status& t, const target_report& report);
     void set_clock(target_status& t, std::int64_t clock_ms, timestamp now);
@@ -431,6 +430,7 @@
 
     const scheduler_settings settings_;
     const fencing_token token_;
+    fencing_token latest_token_; ///< Highest one below those of all later leaders.
     lease_policy leases_;
     std::map<target_id, timestamp> silent_targets_; ///< With runs; and when their leases are over.
     std::set<target_id> stored_waits_;              ///< Targets for which the store may have a wait.
--- a/src/plugins/jobs/progress_journal.cpp
+++ b/src/plugins/jobs/progress_journal.cpp
@@ -102,7 +102,8 @@
     void complete(std::uint64_t sequence, store_revision revision)
     {
         revision_ = revision;
-        const journal_batch batch = std::move(unanswered_[sequence]);
+        journal_batch batch = std::move(unanswered_[sequence]);
+        batch.revision = revision;
         unanswered_.clear();
         handler_.on_stored(batch);
     }
--- a/src/plugins/jobs/progress_journal.h
+++ b/src/plugins/jobs/progress_journal.h
@@ -19,6 +19,7 @@
     std::vector<progress_write> progress;
     std::optional<lease_waits> waits; ///< Waits for silent targets; empty if they are not to be written.
     std::optional<given_up_record> given_up; ///< Runs that were given up; likewise.
+    store_revision revision = 0;             ///< At which the store has them, once it has.
 };
 
 /// Writes the progress of jobs to the store, one transaction at a time. Each transaction is conditional on
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -57,6 +57,12 @@
     }
 }
 
+void job_scheduler::discard_runs_of_target(target_status& t, const char* reason, scheduler_time time)
+{
+    for_runs(t,
+             [&](open_job& open, const task_position& p, task_run&) { discard_run(open, p, reason, time); });
+}
+
 void job_scheduler::on_host_down(target_status& t, scheduler_time time)
 {
     discard_runs_of_target(t, "host was moved or maintained", time);
--- a/src/plugins/jobs/scheduler_leases.cpp
+++ b/src/plugins/jobs/scheduler_leases.cpp
@@ -13,9 +13,7 @@
 
 void job_scheduler::note_lease(target_status& t, const granted_lease& lease, timestamp now) const
 {
-    if (lease.over_at < t.lease_until)
-        return;
-    t.lease_until = lease.over_at;
+    t.lease_until = std::max(t.lease_until, lease.over_at);
     t.lease_granted_at = now;
     t.lease_clock_age = now - t.clock->read_at;
 }
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -219,7 +219,7 @@
     order.run = t.run->number;
     order.payload = j.record().spec.payload;
     order.deadline_ms = lease->deadline_ms;
-    order.token = token_;
+    order.token = target->fence.raise(latest_token_, time.now);
     if (j.step(p.step).saves_progress)
         order.checkpoint = t.checkpoint;
     const timestamp planned_at = std::exchange(t.run->ordered_at, time.now);
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -33,7 +33,7 @@
     if (answer && t != nullptr)
         set_clock(*t, answer->clock_ms, time.now);
     if (!answer && answer.error() == order_errc::fenced)
-        superseded_ = true;
+        on_fenced_order(t, time);
     if (!answer && answer.error() == order_errc::other_instance && t != nullptr)
         on_other_instance(*t, time);
     open_job* open = find_open(key.job);
@@ -160,7 +160,7 @@
     target_status& t = targets_.at(target);
     t.observing = true;
     lease_request request;
-    request.token = token_;
+    request.token = t.fence.raise(latest_token_, now);
     const std::uint64_t stored = t.acknowledgeable_ends();
     // The target may have restarted unnoticed and have begun to count its ends anew. So nothing is
     // acknowledged after an observation without an answer, nor a second time.
@@ -190,7 +190,7 @@
         return;
     t->observing = false;
     if (!report) {
-        on_no_report(*t, report.error(), time);
+        on_no_report(*t, report.error(), sent_at, time);
         return;
     }
     if (report->incarnation < t->info.incarnation && sent_at <= t->incarnation_known_at) {
@@ -241,6 +241,9 @@
     t.former_was_to_stay = t.expected_to_stay();
     t.info.incarnation = incarnation;
     t.incarnation_known_at = time.now;
+    t.fence.on_restart();
+    // An order to the former incarnation may extend the present one's lease before its token has risen.
+    t.lease_until = std::max(t.lease_until, leases_.longest_lease_over_at(time.now));
     t.clock.reset();
     t.ends_seen = 0;
     t.ends_acknowledged = 0;
@@ -267,9 +270,7 @@
             undecided = true;
     });
     if (undecided) {
-        // All losses of one crash count together. The deadlines of starts that the new incarnation has
-        // carried out were times on the former one's clock.
-        t.lease_until = std::max(t.lease_until, leases_.longest_lease_over_at(time.now));
+        // All losses of one crash count together.
         lost.clear();
     }
     for (const task_key& key : planned)
@@ -277,8 +278,27 @@
     lose_runs(t, {lost, {}, "target restarted", t.former_was_to_stay}, time);
 }
 
-void job_scheduler::on_no_report(target_status& t, order_errc ec, scheduler_time time)
+fencing_token job_scheduler::token_for(const target_id& target) const
+{
+    const auto it = targets_.find(target);
+    return it == targets_.end() ? token_ : it->second.fence.token();
+}
+
+void job_scheduler::on_fenced_order(target_status* t, scheduler_time time)
+{
+    // An order with a higher token of this leader may have overtaken it. The next observation tells.
+    if (t != nullptr && t->fence.has_risen())
+        t->next_observation = std::min(t->next_observation, time.now);
+    else
+        superseded_ = true;
+}
+
+void job_scheduler::on_no_report(target_status& t, order_errc ec, timestamp sent_at, scheduler_time time)
 {
+    if (ec == order_errc::fenced && !t.fence.shows_newer_leader(sent_at)) {
+        t.next_observation = time.now;
+        return;
+    }
     if (ec == order_errc::fenced)
         superseded_ = true;
     if (ec == order_errc::other_instance) {
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/lease_policy.h"
+#include "jobs/target_fence.h"
 #include "jobs/target_orders.h"
 
 #include <algorithm>
@@ -35,6 +36,7 @@
     /// When its incarnation became known. An observation that was sent before may have been answered by a
     /// former one.
     timestamp incarnation_known_at;
+    target_fence fence;
     bool former_was_to_stay =
         true;               ///< Whether its former incarnation was to stay, so that its end is a crash.
     bool listed = true;     ///< Whether service discovery has an entry for it.
@@ -59,8 +61,7 @@
     std::optional<clock_reading> clock; ///< Empty while the present incarnation has not answered.
     timestamp lease_until; ///< Latest time at which all its runs have stopped if the lease is not extended.
     bool lease_wait_stored = false; ///< Whether the store may have a wait for the end of its lease.
-    /// When this leader granted the lease that is over at `lease_until`; the epoch if an earlier leader may
-    /// have granted it.
+    /// When this leader granted the latest lease; the epoch if it has granted none.
     timestamp lease_granted_at;
     duration lease_clock_age{0}; ///< Age of the reading of the target's clock on which that lease was based.
 
