Compare targets within their pool, and leave out demand of evacuated zones

Cause: the review of the learned run times found that one reference for all targets lets pools with other kinds of tasks drift apart, that deviations from a bare declaration count as the speed of a target, that a new incarnation of a target keeps it, and that queues, images and the late figure have no bound. The cached demand of a job didn't know of zones that are evacuated later.

Change: deviations are those from what the runs of the same service have in common, in classes that are known well; a restart forgets them. Bounds for queues, the length of images, stored weights and the late figure. The expected run times of a job are set at once. set_evacuated_zones drops the cached demand.

Result: a case with two pools is new.

--- a/src/plugins/jobs/job.cpp
+++ b/src/plugins/jobs/job.cpp
@@ -118,10 +118,9 @@
         std::count_if(tasks_.begin(), tasks_.end(), [](const task& t) { return t.run.has_value(); }));
 }
 
-void job::set_expected_run_time(std::uint32_t step, duration expected)
+void job::set_expected_run_times(std::vector<duration> expected)
 {
-    if (std::exchange(expected_run_times_[step], expected) == expected)
-        return;
+    expected_run_times_ = std::move(expected);
     critical_path_ = compute_critical_path(false);
     update_remaining_work();
 }
--- a/src/plugins/jobs/job.h
+++ b/src/plugins/jobs/job.h
@@ -122,8 +122,8 @@
 
     [[nodiscard]] std::size_t open_tasks() const { return open_; }
     [[nodiscard]] std::size_t active_runs() const;
-    /// Sets how long a task of the step is expected to run; at first that is the declared run time.
-    void set_expected_run_time(std::uint32_t step, duration expected);
+    /// Sets how long a task of each step is expected to run; at first that is the declared run time.
+    void set_expected_run_times(std::vector<duration> expected);
     [[nodiscard]] duration expected_run_time(std::uint32_t step) const { return expected_run_times_[step]; }
     /// Returns the sum of expected run times along the critical path through the steps of an occurrence.
     [[nodiscard]] duration critical_path() const { return critical_path_; }
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -256,7 +256,7 @@
     void refresh_ranks(service_queue& queue, scheduler_time time);
 
     // scheduler_hosts.cpp
-    [[nodiscard]] static pool_demand demand_of_job(job& j);
+    [[nodiscard]] pool_demand demand_of_job(job& j) const;
     /// Whether the predicate is true for the step of any run on the target.
     [[nodiscard]] bool any_step_on(const target_id& id, bool (*predicate)(const step_spec&)) const;
     /// Whether the task runs at full pace on a reachable target whose runs are not about to be ended.
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // The penalties rank kinds of targets: each is larger than the sum of the fill level, which is at most 1, and
-// all smaller penalties.
+// all smaller penalties. Only the one of a slow target is as large as its run times ask for.
 constexpr double pace_limited_penalty = 3.0;
 constexpr double cold_penalty = 5.0;
 constexpr double wrong_rack_penalty = 10.0;
--- a/src/plugins/jobs/run_time_model.cpp
+++ b/src/plugins/jobs/run_time_model.cpp
@@ -16,6 +16,9 @@
 // Bounds of the expected run time, against values from other writers.
 constexpr double shortest_run_s = 0.001;
 constexpr double longest_run_s = 86'400.0;
+constexpr double largest_weight = 1e6;
+// Longer names of images are cut off, so that the stored form stays small.
+constexpr std::size_t max_image = 64;
 
 double seconds_of(duration d)
 {
@@ -47,7 +50,8 @@
     for (const json& row : in) {
         const double weight = row.at(1).get<double>();
         // Weights are rounded when they are stored.
-        if (weight != 0.0 && !out.restore_bucket(row.at(0).get<std::size_t>(), weight))
+        if (weight != 0.0 &&
+            (weight > largest_weight || !out.restore_bucket(row.at(0).get<std::size_t>(), weight)))
             return false;
     }
     return true;
@@ -57,7 +61,7 @@
 
 run_class class_of(const queue_id& queue, const step_spec& step)
 {
-    run_class out{queue, step.image, 0};
+    run_class out{queue, step.image.substr(0, max_image), 0};
     if (step.need.milli_cpu > 0)
         out.size = static_cast<int>(std::lround(std::log2(static_cast<double>(step.need.milli_cpu))));
     return out;
@@ -78,29 +82,32 @@
     return classes_[tasks];
 }
 
-void run_time_model::record(const run_class& tasks, const target_id& target, duration declared,
-                            duration measured)
+void run_time_model::record(const run_class& tasks, const service_id& service, const target_id& target,
+                            duration declared, duration measured)
 {
     if (measured.count() <= 0)
         return;
     const double expected = seconds_of(expect(tasks, declared).typical);
     const double usual = seconds_of(measured) / slowness(target);
-    for (history* h : {&history_of(tasks), &queues_[tasks.queue]}) {
-        h->seconds.add(usual);
+    const auto add = [&](history& h) {
+        h.seconds.add(usual);
         if (declared.count() > 0)
-            h->ratio.add(usual / seconds_of(declared));
-    }
+            h.ratio.add(usual / seconds_of(declared));
+    };
+    history& of_class = history_of(tasks);
+    const bool trusted = of_class.seconds.weight() >= settings_.trusted_weight;
+    add(of_class);
+    if (queues_.size() < settings_.max_queues || queues_.contains(tasks.queue))
+        add(queues_[tasks.queue]);
     ++changes_;
-    if (expected <= 0.0)
+    // A declaration that is off would count as the speed of the targets.
+    if (!trusted || expected <= 0.0)
         return;
-    target_history& t = targets_[target];
     const double deviation = std::clamp(std::log2(seconds_of(measured) / expected),
                                         -settings_.largest_deviation, settings_.largest_deviation);
-    sum_of_means_ -= t.mean();
-    t.octaves = t.octaves * settings_.target_decay + deviation;
-    t.weight = t.weight * settings_.target_decay + 1.0;
-    sum_of_means_ += t.mean();
-    ++t.runs;
+    deviation_history& pool = pools_[service];
+    targets_[target].add(deviation - pool.mean(), settings_.target_decay);
+    pool.add(deviation, settings_.pool_decay);
 }
 
 run_expectation run_time_model::refine(const run_expectation& broader, const history& h,
@@ -115,7 +122,8 @@
     const log_histogram& source = use_declared ? h.ratio : h.seconds;
     const double unit = use_declared ? declared_s : 1.0;
     const double typical = unit * source.trimmed_mean();
-    const double late = std::max(typical, unit * source.quantile(settings_.late_quantile));
+    const double late = std::clamp(unit * source.quantile(settings_.late_quantile), typical,
+                                   settings_.largest_late_factor * typical);
     const double trust = std::min(1.0, h.seconds.weight() / settings_.trusted_weight);
     if (broader.typical.count() <= 0)
         return {duration_of(typical), duration_of(late)};
@@ -138,16 +146,7 @@
     const auto it = targets_.find(target);
     if (it == targets_.end() || it->second.runs < settings_.trusted_runs_of_target)
         return 1.0;
-    return std::exp2(it->second.mean() - sum_of_means_ / static_cast<double>(targets_.size()));
-}
-
-void run_time_model::forget_target(const target_id& target)
-{
-    const auto it = targets_.find(target);
-    if (it == targets_.end())
-        return;
-    sum_of_means_ -= it->second.mean();
-    targets_.erase(it);
+    return std::exp2(it->second.mean());
 }
 
 std::string run_time_model::encode() const
--- a/src/plugins/jobs/run_time_model.h
+++ b/src/plugins/jobs/run_time_model.h
@@ -37,11 +37,15 @@
     double trusted_weight = 10.0;
     /// Number of classes that are kept. Callers choose images, so their number is not known.
     std::size_t max_classes = 64;
+    std::size_t max_queues = 256;
+    /// Multiple of the typical run time that the late one doesn't exceed, in a class of short and long tasks.
+    double largest_late_factor = 8.0;
     double late_quantile = 0.95;
     /// Runs that a target must have finished before it counts as slow or fast.
     double trusted_runs_of_target = 6.0;
     /// Part of a target's history that remains with each further run, so that it follows a change.
     double target_decay = 0.9;
+    double pool_decay = 0.99; ///< The same for what the runs of a pool have in common.
     /// Octaves by which one run may differ from the expectation in the history of its target. A few tasks are
     /// long on every target.
     double largest_deviation = 1.0;
@@ -53,13 +57,15 @@
 public:
     explicit run_time_model(run_time_settings settings = {}) : settings_{settings} {}
 
-    /// Records a run that has ended as done. `declared` is 0 if no run time was declared.
-    void record(const run_class& tasks, const target_id& target, duration declared, duration measured);
+    /// Records a run that has ended as done on a target of the service. `declared` is 0 if no run time was
+    /// declared.
+    void record(const run_class& tasks, const service_id& service, const target_id& target, duration declared,
+                duration measured);
     /// Returns the declared run time for both values if nothing has been learned.
     [[nodiscard]] run_expectation expect(const run_class& tasks, duration declared) const;
     /// Returns the factor by which runs take longer on the target than elsewhere; 1 while it is not known.
     [[nodiscard]] double slowness(const target_id& target) const;
-    void forget_target(const target_id& target);
+    void forget_target(const target_id& target) { targets_.erase(target); }
 
     /// Number of changes so far.
     [[nodiscard]] std::uint64_t changes() const { return changes_; }
@@ -75,10 +81,17 @@
         log_histogram seconds;
         log_histogram ratio; ///< Measured to declared run times.
     };
-    struct target_history {
-        double octaves = 0.0; ///< Decayed sum of the runs' deviations.
+    /// Deviations of runs from the expectation.
+    struct deviation_history {
+        double octaves = 0.0; ///< Decayed sum.
         double weight = 0.0;
         double runs = 0.0;
+        void add(double deviation, double decay)
+        {
+            octaves = octaves * decay + deviation;
+            weight = weight * decay + 1.0;
+            ++runs;
+        }
         [[nodiscard]] double mean() const { return weight > 0.0 ? octaves / weight : 0.0; }
     };
 
@@ -90,8 +103,8 @@
     run_time_settings settings_;
     std::map<queue_id, history> queues_;
     std::map<run_class, history> classes_;
-    std::map<target_id, target_history> targets_;
-    double sum_of_means_ = 0.0; ///< Over all targets. Their mean is what all runs have in common.
+    std::map<target_id, deviation_history> targets_; ///< Without what the runs of their pool have in common.
+    std::map<service_id, deviation_history> pools_;
     std::uint64_t changes_ = 0;
 };
 
--- a/src/plugins/jobs/scheduler_evacuation.cpp
+++ b/src/plugins/jobs/scheduler_evacuation.cpp
@@ -90,6 +90,8 @@
                   "zone " + zone.str() + ", " + std::to_string(targets) + " targets, " +
                       std::to_string(runs) + " runs");
     }
+    for (auto& [id, open] : jobs_)
+        open.demand.reset(); // Runs in evacuated zones don't count in it.
     evacuation_.next_check = {};
     check_evacuation(time);
     plan_all_services();
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -74,7 +74,7 @@
     t.ordered_down_at = {};
 }
 
-pool_demand job_scheduler::demand_of_job(job& j)
+pool_demand job_scheduler::demand_of_job(job& j) const
 {
     pool_demand demand;
     const std::size_t steps = j.record().spec.steps.size();
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -245,6 +245,8 @@
     t.info.incarnation = incarnation;
     t.incarnation_known_at = time.now;
     t.fence.on_restart();
+    run_times_.forget_target(t.info.id);
+    t.slowness = 1.0;
     // An order to the former incarnation may extend the present one's lease before its token has risen.
     t.lease_until = std::max(t.lease_until, leases_.longest_lease_over_at(time.now));
     t.clock.reset();
--- a/src/plugins/jobs/scheduler_run_times.cpp
+++ b/src/plugins/jobs/scheduler_run_times.cpp
@@ -7,12 +7,12 @@
     if (!settings_.learn_run_times)
         return;
     job& j = *open.state;
-    for (std::uint32_t s = 0; s < j.record().spec.steps.size(); ++s) {
-        const step_spec& step = j.step(s);
-        if (!step.permanent)
-            j.set_expected_run_time(
-                s, run_times_.expect(class_of(j.record().queue, step), step.estimate).typical);
-    }
+    std::vector<duration> expected;
+    for (const step_spec& step : j.record().spec.steps)
+        expected.push_back(step.permanent
+                               ? step.estimate
+                               : run_times_.expect(class_of(j.record().queue, step), step.estimate).typical);
+    j.set_expected_run_times(std::move(expected));
 }
 
 duration job_scheduler::expected_at_most(const open_job& open, std::uint32_t step) const
@@ -36,8 +36,8 @@
     if (!settings_.learn_run_times || step.permanent || step.backfill || t == nullptr || away || cold ||
         !it.checkpoint.empty())
         return;
-    run_times_.record(class_of(open.state->record().queue, step), it.run->target, step.estimate,
-                      now - it.run->ordered_at);
+    run_times_.record(class_of(open.state->record().queue, step), t->info.service, it.run->target,
+                      step.estimate, now - it.run->ordered_at);
     t->slowness = run_times_.slowness(it.run->target);
 }
 
--- a/src/plugins/jobs/straggler.h
+++ b/src/plugins/jobs/straggler.h
@@ -15,7 +15,7 @@
     duration margin{std::chrono::milliseconds{300}};
     /// Fraction of the step's tasks that must be done before their run times are used as the reference.
     double done_share = 0.5;
-    /// Factor by which a task's declared run time may be too short or too long. It is used where the step's
+    /// Factor by which a task's expected run time may be too short or too long. It is used where the step's
     /// other tasks give no reference.
     double estimate_factor = 2.0;
 };
@@ -32,14 +32,14 @@
 [[nodiscard]] std::optional<duration> straggler_bound(const step_times& others, std::uint32_t tasks,
                                                       const straggler_settings& settings);
 
-/// Returns an estimate of `straggler_bound` for a run of this age and declared run time whose step has too
+/// Returns an estimate of `straggler_bound` for a run of this age and expected run time whose step has too
 /// few tasks that are done. Those that started together with the run take at least as long as it has run, and
-/// seldom less than their declared run time by more than its usual error.
+/// seldom less than their expected run time by more than its usual error.
 [[nodiscard]] duration expected_straggler_bound(duration age, duration estimate, const step_times& others,
                                                 const straggler_settings& settings);
 
-/// Returns the age above which a run has exceeded its declared run time by far, or no value if none is
-/// declared. It is meant for runs on a target that had a straggler recently.
+/// Returns the age above which a run has exceeded its expected run time by far, or no value if none is
+/// known. It is meant for runs on a target that had a straggler recently.
 [[nodiscard]] std::optional<duration> overdue_bound(duration estimate, const straggler_settings& settings);
 
 } // namespace mjm
--- a/src/plugins/jobs/tests/tst_run_times.cpp
+++ b/src/plugins/jobs/tests/tst_run_times.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 const run_class quick{queue_id{"quick"}, "", 11};
+const service_id pool{"pool"};
 const target_id usual{"usual"};
 
 double factor(duration a, duration b)
@@ -19,7 +20,7 @@
 void record_many(run_time_model& model, int runs, duration declared, duration measured)
 {
     for (int n = 0; n < runs; ++n)
-        model.record(quick, target_id{"t" + std::to_string(n % 5)}, declared, measured);
+        model.record(quick, pool, target_id{"t" + std::to_string(n % 5)}, declared, measured);
 }
 
 } // namespace
@@ -57,7 +58,7 @@
     run_time_model model;
     for (int n = 0; n < 40; ++n) {
         const duration declared = n % 2 == 0 ? duration{200ms} : duration{3200ms};
-        model.record(quick, target_id{"t" + std::to_string(n % 7)}, declared, declared * 2);
+        model.record(quick, pool, target_id{"t" + std::to_string(n % 7)}, declared, declared * 2);
     }
     CHECK(factor(model.expect(quick, 200ms).typical, 400ms) == Approx(1.0).epsilon(0.25));
     CHECK(factor(model.expect(quick, 3200ms).typical, 6400ms) == Approx(1.0).epsilon(0.25));
@@ -67,7 +68,7 @@
 {
     run_time_model model;
     for (int n = 0; n < 200; ++n)
-        model.record(quick, target_id{"t" + std::to_string(n % 11)}, 0ms, n % 15 == 0 ? 4200ms : 600ms);
+        model.record(quick, pool, target_id{"t" + std::to_string(n % 11)}, 0ms, n % 15 == 0 ? 4200ms : 600ms);
     const run_expectation expected = model.expect(quick, 0ms);
     CHECK(factor(expected.typical, 600ms) < 1.6);
     CHECK(factor(expected.late, 600ms) > 4.0);
@@ -77,21 +78,34 @@
 {
     run_time_model model;
     for (int n = 0; n < 200; ++n) {
-        model.record(quick, target_id{"t" + std::to_string(n % 5)}, 0ms, 500ms);
+        model.record(quick, pool, target_id{"t" + std::to_string(n % 5)}, 0ms, 500ms);
         if (n % 2 == 0)
-            model.record(quick, target_id{"slow"}, 0ms, 1000ms);
+            model.record(quick, pool, target_id{"slow"}, 0ms, 1000ms);
     }
     CHECK(model.slowness(target_id{"slow"}) > 1.5);
     CHECK(model.slowness(target_id{"t1"}) == Approx(1.0).epsilon(0.2));
     CHECK(factor(model.expect(quick, 0ms).typical, 500ms) == Approx(1.0).epsilon(0.25));
 }
 
+TEST_CASE("the targets of one pool are not compared with those of another one")
+{
+    run_time_model model;
+    const run_class other{queue_id{"long"}, "", 11};
+    for (int n = 0; n < 400; ++n) {
+        model.record(quick, pool, target_id{"t" + std::to_string(n % 5)}, 0ms, n % 3 == 0 ? 800ms : 500ms);
+        model.record(other, service_id{"other"}, target_id{"u" + std::to_string(n % 5)}, 0ms, 2100ms);
+    }
+    for (const char* target : {"t0", "t4", "u0", "u4"})
+        CHECK(model.slowness(target_id{target}) == Approx(1.0).epsilon(0.25));
+    CHECK(factor(model.expect(other, 0ms).typical, 2100ms) == Approx(1.0).epsilon(0.25));
+}
+
 TEST_CASE("images that callers choose can't fill the memory")
 {
     run_time_model model;
     record_many(model, 30, 500ms, 500ms);
     for (int n = 0; n < 1000; ++n)
-        model.record({queue_id{"quick"}, "image " + std::to_string(n), 11}, usual, 500ms, 500ms);
+        model.record({queue_id{"quick"}, "image " + std::to_string(n), 11}, pool, usual, 500ms, 500ms);
     CHECK(model.classes() <= run_time_settings{}.max_classes);
     CHECK(model.encode().size() < 100'000);
 }
--- a/src/tools/mjm_bench/run_times_benchmark.cpp
+++ b/src/tools/mjm_bench/run_times_benchmark.cpp
@@ -114,10 +114,10 @@
         j.state = std::make_unique<job>(std::move(record));
         const duration exact = std::chrono::milliseconds{static_cast<std::int64_t>(j.true_s * 1000.0)};
         if (source_ == knowledge::exact)
-            j.state->set_expected_run_time(0, exact);
+            j.state->set_expected_run_times({exact});
         else if (source_ == knowledge::learned)
-            j.state->set_expected_run_time(
-                0, model_.expect(class_of(j.state->record().queue, step), step.estimate).typical);
+            j.state->set_expected_run_times(
+                {model_.expect(class_of(j.state->record().queue, step), step.estimate).typical});
         j.in_time_ms = now + static_cast<std::int64_t>((1.6 * j.true_s + 0.6) * 1000.0);
         ++out_.jobs;
         jobs_.push_back(std::make_unique<open_job>(std::move(j)));
@@ -150,8 +150,9 @@
             if (r.end_ms > now)
                 continue;
             job& j = *r.owner->state;
-            model_.record(class_of(j.record().queue, j.step(0)), target_id{std::to_string(random_.below(60))},
-                          j.step(0).estimate, std::chrono::milliseconds{r.end_ms - r.start_ms});
+            model_.record(class_of(j.record().queue, j.step(0)), service_id{"pool"},
+                          target_id{std::to_string(random_.below(60))}, j.step(0).estimate,
+                          std::chrono::milliseconds{r.end_ms - r.start_ms});
             j.finish_task({0, 0, --r.owner->open});
             if (r.owner->open > 0)
                 continue;
