Test the age of evacuations apart from that of the configuration

Both are 1.5 s in the scheduler's defaults, so the test passed also with only the age of the configuration compared. It now sets the smaller limit for evacuations. With that comparison taken out, the test fails.

--- a/src/plugins/jobs/tests/tst_evacuation.cpp
+++ b/src/plugins/jobs/tests/tst_evacuation.cpp
@@ -143,6 +143,12 @@
                               f.now().unix_ms};
     CHECK_FALSE(f.scheduler.may_start(late.now));
     CHECK(f.take_starts(late).empty());
+
+    scheduler_settings settings;
+    settings.max_evacuation_view_age = settings.max_config_view_age / 2;
+    job_scheduler other{settings, scheduler_fixture::token, f.now(), {}};
+    other.set_view_times(known);
+    CHECK(other.views_recent_until() == known.configuration + settings.max_evacuation_view_age);
 }
 
 // Guards against jobs that wait for an evacuated zone without anybody being told.
