Check the staggered return of hosts at a time at which it shows

The test counted orders 2.6 s after the zone was given back, before orders of hosts that return all at once would have been sent, so it passed without the stagger as well. It now counts them after 3 s. With the stagger taken out, it fails.

--- a/src/plugins/jobs/tests/tst_host_orders.cpp
+++ b/src/plugins/jobs/tests/tst_host_orders.cpp
@@ -150,7 +150,7 @@
     run(1s);
     CHECK(operations.orders.size() == 1); // The only host that is any capacity.
     f.scheduler.set_evacuated_zones({}, f.now());
-    run(2600ms);
+    run(3s);
     const std::size_t first = operations.orders.size();
     CHECK(first < 4);
     run(3s);
