Free the ends of a retired target by a run that ends with its lease

Once its lease is over, it now takes one run with a lease of 0.1 s; the listed end of that lease frees the ends.

A move that had no effect is not chosen again for 3 s, or for 10 s if the platform refuses it for good, so that the host can work meanwhile. A pool keeps its idle hosts while some of its waiting work can't use every host, by its label or the number of its tasks on each.

--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -135,8 +135,10 @@
             scheduler_.on_host_taken_down(pending.order.target, {time_.now(), time_.unix_ms()});
         if (!is_over(pending, host->second, requested_at))
             return false;
-        if (host->second.target == pending.order.target)
+        if (host->second.target == pending.order.target) {
             scheduler_.set_leaving(pending.order.target, false);
+            no_move_until_[id] = time_.now() + settings_.move_pause;
+        }
         return true;
     });
 }
@@ -241,6 +243,7 @@
         p.needed = hosts_needed(demand.total, capacities[id]);
         p.present = hosts_needed(demand.present, capacities[id]);
         p.waiting = hosts_needed(demand.waiting, capacities[id]);
+        p.restricted = demand.restricted;
         p.growth = p.standby ? 0.0 : demand_growth(id, p.present);
     }
     for (const auto& [id, h] : hosts_) {
@@ -252,7 +255,7 @@
             continue;
         ++pool->second.hosts;
         if (pending != pending_orders_.end() || h.state != host_state::up || held_hosts_.contains(id) ||
-            awaits_target(h))
+            no_move_until_.contains(id) || awaits_target(h))
             continue;
         const auto idle = idle_since_.find(id);
         if (pool->second.standby)
@@ -290,6 +293,7 @@
         else
             idle_since_.erase(id);
     }
+    std::erase_if(no_move_until_, [now](const auto& entry) { return entry.second <= now; });
     choose_replacements();
     const std::vector<pool_state> pools = pool_states();
     log_pools(pools);
@@ -307,7 +311,7 @@
         const auto t = scheduler_.targets().find(target_of(id));
         if (t == scheduler_.targets().end() || !t->second.retired() || !t->second.settled() ||
             h.state != host_state::up || h.pool == standby->first || pending_orders_.contains(id) ||
-            held_hosts_.contains(id))
+            held_hosts_.contains(id) || no_move_until_.contains(id))
             continue;
         choose_move(id, h.pool, standby->first);
     }
@@ -414,8 +418,12 @@
     // A move that could not be sent in time is dropped, so that the host can be planned anew.
     std::erase_if(pending_orders_, [&](const auto& entry) {
         const pending_order& pending = entry.second;
-        return pending.order.kind == host_order_kind::move && pending.outcome == order_outcome::not_done &&
-               now - pending.chosen_at > settings_.drain_timeout;
+        const bool dropped = pending.order.kind == host_order_kind::move &&
+                             pending.outcome == order_outcome::not_done &&
+                             now - pending.chosen_at > settings_.drain_timeout;
+        if (dropped && pending.sent_at != timestamp{})
+            no_move_until_[entry.first] = now + settings_.move_pause;
+        return dropped;
     });
 }
 
@@ -475,6 +483,8 @@
         scheduler_.set_leaving(pending.order.target, false);
         if (pending.order.kind == host_order_kind::maintain)
             mark_done(pending, host);
+        else
+            no_move_until_[host] = time_.now() + settings_.refused_move_pause;
         pending_orders_.erase(it);
         return;
     default:
--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -45,6 +45,10 @@
     /// Entries of targets that have lapsed are back by this long after the registrations can be read again.
     /// One that is still missing then belongs to a target that has gone.
     duration registration_return{std::chrono::milliseconds{3000}};
+    /// Time for which no move is chosen for a host after one that had no effect, so that the host can work.
+    duration move_pause{std::chrono::milliseconds{3000}};
+    /// The same after the platform has refused a move for good.
+    duration refused_move_pause{std::chrono::seconds{10}};
     pool_plan_settings pools;
 };
 
@@ -159,6 +163,7 @@
     std::map<std::string, target_id> target_by_host_; ///< Current targets according to service discovery.
     std::map<std::string, timestamp> last_listed_;
     std::map<std::string, timestamp> idle_since_;
+    std::map<std::string, timestamp> no_move_until_; ///< Hosts whose latest moves had no effect.
     std::map<std::string, pending_order> pending_orders_;
     std::map<std::string, wave_state> waves_;
     std::map<std::string, wave_record> restored_waves_;
--- a/src/plugins/jobs/lease_policy.cpp
+++ b/src/plugins/jobs/lease_policy.cpp
@@ -16,8 +16,20 @@
     // shortens the lease.
     const duration length =
         std::min(overdue ? settings_.longest : settings_.normal, settings_.longest - drift);
-    return granted_lease{clock.shown_ms + to_ms(age + length),
-                         clock.read_at + longest_time_for(age + length) + settings_.margin};
+    return lease_of(clock, age, length);
+}
+
+std::optional<granted_lease> lease_policy::grant_expiring(const clock_reading& clock, timestamp now) const
+{
+    if (!may_grant(now))
+        return std::nullopt;
+    return lease_of(clock, now - clock.read_at, settings_.expiring);
+}
+
+granted_lease lease_policy::lease_of(const clock_reading& clock, duration age, duration length) const
+{
+    return {clock.shown_ms + to_ms(age + length),
+            clock.read_at + longest_time_for(age + length) + settings_.margin};
 }
 
 bool lease_policy::too_old(const clock_reading& clock, timestamp now) const
--- a/src/plugins/jobs/lease_policy.h
+++ b/src/plugins/jobs/lease_policy.h
@@ -15,6 +15,8 @@
     duration normal{std::chrono::milliseconds{4300}};
     /// Longest lease that a target accepts; it shortens any other. The platform's `hold-max-ms`.
     duration longest{std::chrono::milliseconds{6000}};
+    /// Lease of a run that is to end with it. It covers the way of the start to the target.
+    duration expiring{std::chrono::milliseconds{100}};
     /// Targets get the longest lease if less than this is left of the leader's own one. Its renewal is
     /// overdue then, and the targets' work should outlast an election or a short outage of the store.
     duration renewal_overdue{std::chrono::milliseconds{1000}};
@@ -56,6 +58,9 @@
     [[nodiscard]] timestamp leader_lease_until() const { return leader_lease_until_; }
     /// Returns the lease that a target with this clock gets, or no value if another host may lead by now.
     [[nodiscard]] std::optional<granted_lease> grant(const clock_reading& clock, timestamp now) const;
+    /// Returns the lease of a run that is to end with it, or no value likewise.
+    [[nodiscard]] std::optional<granted_lease> grant_expiring(const clock_reading& clock,
+                                                              timestamp now) const;
     /// Whether the target's clock has to be read again, since it may have drifted.
     [[nodiscard]] bool too_old(const clock_reading& clock, timestamp now) const;
     /// Sets the stored wait for the lease of a target that was silent under an earlier leader.
@@ -69,6 +74,7 @@
     [[nodiscard]] duration longest_observation(timestamp now) const;
 
 private:
+    [[nodiscard]] granted_lease lease_of(const clock_reading& clock, duration age, duration length) const;
     /// Returns the longest time that passes while the clock of a target advances by `shown`.
     [[nodiscard]] duration longest_time_for(duration shown) const;
 
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -12,6 +12,7 @@
 constexpr double concentrated_penalty = 30.0;
 constexpr double maintained_soon_penalty = 50.0;
 constexpr double avoided_penalty = 100.0;
+constexpr double retired_penalty = 200.0;
 
 bool has_label(const target_status& t, const std::string& label)
 {
@@ -19,6 +20,14 @@
            std::find(t.info.labels.begin(), t.info.labels.end(), label) != t.info.labels.end();
 }
 
+/// Whether the target accepts work but for the ends that it must keep.
+bool is_available(const target_status& t, timestamp now)
+{
+    return t.listed && t.synced && t.reachable && !t.cordoned && !t.leaving &&
+           t.info.state == target_state::ready && now >= t.avoid_until && t.capacity_known() &&
+           !t.has_unknown_need() && !t.lease_wait_stored;
+}
+
 /// Whether the target's other runs allow one more of the task, going by the crashes that they may cause.
 bool separated(const target_status& t, const placement_request& request)
 {
@@ -29,8 +38,10 @@
 
 bool may_run(const target_status& t, const placement_request& request, timestamp now)
 {
-    return accepts_work(t, now) && has_label(t, request.step->required_label) && has_place(t, request) &&
-           separated(t, request);
+    // A run that ends with its lease tells nothing of the crashes that its task may cause.
+    const bool expires = !request.isolated && !request.suspected && accepts_expiring_run(t, now);
+    return (accepts_work(t, now) || expires) && has_label(t, request.step->required_label) &&
+           has_place(t, request) && separated(t, request);
 }
 
 double cost(const target_status& t, const placement_request& request)
@@ -52,6 +63,8 @@
         result += maintained_soon_penalty;
     if (!request.avoided_target.empty() && t.info.id == request.avoided_target)
         result += avoided_penalty;
+    if (t.retired())
+        result += retired_penalty;
     return result;
 }
 
@@ -59,9 +72,12 @@
 
 bool accepts_work(const target_status& t, timestamp now)
 {
-    return t.listed && t.synced && t.reachable && !t.cordoned && !t.leaving &&
-           t.info.state == target_state::ready && now >= t.avoid_until && t.capacity_known() &&
-           !t.has_unknown_need() && !t.lease_wait_stored && !t.retired();
+    return is_available(t, now) && !t.retired();
+}
+
+bool accepts_expiring_run(const target_status& t, timestamp now)
+{
+    return is_available(t, now) && t.may_expire(now) && t.settled() && t.unknown_runs.empty();
 }
 
 bool could_run(const target_status& t, const placement_request& request)
--- a/src/plugins/jobs/placement.h
+++ b/src/plugins/jobs/placement.h
@@ -21,6 +21,8 @@
 
 /// Whether the target may be given any work at `now`.
 [[nodiscard]] bool accepts_work(const target_status& t, timestamp now);
+/// Whether the target is retired, and takes one run whose lease expires at once, so that its ends are free.
+[[nodiscard]] bool accepts_expiring_run(const target_status& t, timestamp now);
 
 /// Whether the target fits the task apart from what it runs at present.
 [[nodiscard]] bool could_run(const target_status& t, const placement_request& request);
--- a/src/plugins/jobs/pool_plan.cpp
+++ b/src/plugins/jobs/pool_plan.cpp
@@ -131,7 +131,8 @@
     if (standby == pools.end())
         return moves;
     for (pool_state& from : pools) {
-        if (from.standby)
+        // The number of hosts doesn't tell whether those that are left can do restricted work.
+        if (from.standby || from.restricted)
             continue;
         const std::size_t wanted = wanted_hosts(from, settings, equal_share);
         std::erase_if(from.idle, [&](const spare_host& h) { return h.idle_for < settings.idle_time; });
--- a/src/plugins/jobs/pool_plan.h
+++ b/src/plugins/jobs/pool_plan.h
@@ -37,12 +37,13 @@
 /// Hosts and demand of a pool, in hosts.
 struct pool_state {
     service_id service;
-    bool standby = false;  ///< Whether its hosts are switched off.
-    std::size_t hosts = 0; ///< Hosts in the pool or being moved to it.
-    double needed = 0.0;   ///< Hosts filled by the present work and the next steps of its jobs.
-    double present = 0.0;  ///< Hosts filled by tasks that run or could run now.
-    double waiting = 0.0;  ///< Part of `present` that waits for free capacity.
-    double growth = 0.0;   ///< Growth of `present` in hosts per second.
+    bool standby = false;    ///< Whether its hosts are switched off.
+    std::size_t hosts = 0;   ///< Hosts in the pool or being moved to it.
+    double needed = 0.0;     ///< Hosts filled by the present work and the next steps of its jobs.
+    double present = 0.0;    ///< Hosts filled by tasks that run or could run now.
+    double waiting = 0.0;    ///< Part of `present` that waits for free capacity.
+    double growth = 0.0;     ///< Growth of `present` in hosts per second.
+    bool restricted = false; ///< Whether some waiting work can't use every host of the pool.
     std::vector<spare_host> idle;
     /// Busy hosts without permanent tasks, whose work ends by itself within seconds; the least loaded first.
     std::vector<std::string> busy;
--- a/src/plugins/jobs/scheduler_given_up.cpp
+++ b/src/plugins/jobs/scheduler_given_up.cpp
@@ -107,6 +107,7 @@
             given_up_.remove(t.info.id, *run);
     }
     t.withheld_ends.clear();
+    t.expiring = false;
 }
 
 void job_scheduler::withhold_unreadable_end(target_status& t, const target_report& report)
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -92,7 +92,10 @@
     resources now;
     resources later;
     for (std::size_t s = 0; s < steps; ++s) {
-        const resources need = counted_need(j.step(static_cast<std::uint32_t>(s)));
+        const step_spec& step = j.step(static_cast<std::uint32_t>(s));
+        const resources need = counted_need(step);
+        if (waiting[s] > 0 && (!step.required_label.empty() || step.max_per_target != 0))
+            demand.restricted = true;
         now += times(need, running[s] + waiting[s]);
         demand.waiting += times(need, waiting[s]);
         const resources width = times(need, blocked[s]);
--- a/src/plugins/jobs/scheduler_io.h
+++ b/src/plugins/jobs/scheduler_io.h
@@ -61,6 +61,9 @@
     resources total;
     resources present; ///< Need of running and waiting tasks.
     resources waiting; ///< Need of tasks that have no run and whose step is ready.
+    /// Whether a waiting task may run on some of the targets only, by its label or by the number of its
+    /// step's tasks on each.
+    bool restricted = false;
 };
 
 } // namespace mjm
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -80,13 +80,17 @@
 void job_scheduler::plan_pool(const service_id& service, service_queue& queue, scheduler_time time)
 {
     std::vector<target_status*> pool;
+    std::vector<target_status*> retired;
     for (const auto& [id, t] : targets_by_service_[service]) {
         if (accepts_work(*t, time.now))
             pool.push_back(t);
+        else if (accepts_expiring_run(*t, time.now))
+            retired.push_back(t);
     }
-    if (pool.empty())
+    if (pool.empty() && retired.empty())
         return;
     plan_isolated_tasks(service, pool, time);
+    pool.insert(pool.end(), retired.begin(), retired.end());
     unsatisfiable_needs unsatisfiable{pool};
     if (unsatisfiable.covers(queue.smallest_need))
         return;
@@ -193,6 +197,8 @@
     run.suspected = !t.crashes.empty();
     t.run = std::move(run);
     reserve_capacity(open, p, *t.run);
+    // From now on observations would extend the lease.
+    target.expiring = target.may_expire(time.now);
     mark_changed(j);
     t.run->planned_change = j.last_change;
     const task_key key{j.id(), p};
@@ -209,7 +215,9 @@
         return;
     }
     target_status* target = find_target(t.run->target);
-    const std::optional<granted_lease> lease = leases_.grant(*target->clock, time.now);
+    const std::optional<granted_lease> lease = target->expiring
+                                                   ? leases_.grant_expiring(*target->clock, time.now)
+                                                   : leases_.grant(*target->clock, time.now);
     if (!lease) {
         discard_run(open, p, "another host may lead", time);
         return;
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -84,6 +84,10 @@
         if (t != nullptr)
             t->avoid_until = std::max(t->avoid_until, time.now + settings_.refusal_pause);
         break;
+    case order_errc::too_late:
+        if (t != nullptr && t->expiring)
+            t->avoid_until = std::max(t->avoid_until, time.now + settings_.refusal_pause);
+        break;
     case order_errc::not_sent:
         if (t != nullptr) {
             t->reachable = false;
@@ -168,7 +172,8 @@
     t.acknowledgement_in_flight = request.ends_acknowledged;
     // The lease of a target that fails to answer is not extended, so that the time by which its runs have
     // stopped stays fixed.
-    if (t.clock && !t.runs.empty() && t.missed_observations == 0 && t.reachable && !t.lease_wait_stored) {
+    if (t.clock && !t.runs.empty() && t.missed_observations == 0 && t.reachable && !t.lease_wait_stored &&
+        !t.expiring) {
         const std::optional<granted_lease> lease = leases_.grant(*t.clock, now);
         request.lease_withheld = !lease;
         if (lease) {
@@ -216,6 +221,7 @@
     set_clock(*t, report->clock_ms, time.now);
     t->synced = true;
     t->listed_all = report->complete;
+    t->ends_until_cut_off = report->ends_until_cut_off;
     for (const listed_end& end : report->ended) {
         if (end.sequence <= t->ends_seen)
             continue;
@@ -242,6 +248,7 @@
     t.info.incarnation = incarnation;
     t.incarnation_known_at = time.now;
     t.fence.on_restart();
+    t.expiring = false;
     // An order to the former incarnation may extend the present one's lease before its token has risen.
     t.lease_until = std::max(t.lease_until, leases_.longest_lease_over_at(time.now));
     t.clock.reset();
--- a/src/plugins/jobs/target_orders.h
+++ b/src/plugins/jobs/target_orders.h
@@ -6,8 +6,10 @@
 
 #include <tl/expected.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -113,6 +115,8 @@
     /// missing.
     bool tells_of_all_runs = true;
     std::optional<std::uint64_t> unreadable_end; ///< Position of the first end that can't be read.
+    /// Number of further ends with which the list would not be complete any more.
+    std::size_t ends_until_cut_off = std::numeric_limits<std::size_t>::max();
 };
 
 /// Confirmation of an order by its target.
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -5,6 +5,7 @@
 #include "jobs/target_orders.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -60,6 +61,8 @@
 
     std::optional<clock_reading> clock; ///< Empty while the present incarnation has not answered.
     timestamp lease_until; ///< Latest time at which all its runs have stopped if the lease is not extended.
+    std::size_t ends_until_cut_off = 0; ///< As of its latest report.
+    bool expiring = false;          ///< Whether its lease is not extended, so that its last run ends with it.
     bool lease_wait_stored = false; ///< Whether the store may have a wait for the end of its lease.
     /// When this leader granted the latest lease; the epoch if it has granted none.
     timestamp lease_granted_at;
@@ -86,8 +89,15 @@
     {
         return info.state == target_state::ready && !leaving && ordered_down_at == timestamp{};
     }
-    /// Whether the target gets no work any more, since it would have to keep the end of each further run.
+    /// Whether the target gets no more work, since it would have to keep the end of each further run, until a
+    /// run has ended with its lease.
     [[nodiscard]] bool retired() const { return !withheld_ends.empty(); }
+    /// Whether the next run may end with its lease, which frees the withheld ends if it is listed. The lease
+    /// can't be made shorter while an earlier one lasts.
+    [[nodiscard]] bool may_expire(timestamp now) const
+    {
+        return retired() && now > lease_until && ends_until_cut_off > 1;
+    }
     /// Returns the latest end that may be acknowledged once the store has all ends up to it.
     [[nodiscard]] std::uint64_t last_end_to_acknowledge() const
     {
--- a/src/plugins/jobs/tests/fakes/fake_targets.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_targets.cpp
@@ -366,6 +366,7 @@
         report.ended = t.ended;
         report.complete = t.ended.size() < most_ends_listed;
         report.tells_of_all_runs = report.complete;
+        report.ends_until_cut_off = report.complete ? most_ends_listed - t.ended.size() : 0;
         if (!report.complete)
             report.ended.resize(most_ends_listed);
         for (const auto& [task, r] : t.running) {
--- a/src/plugins/jobs/tests/tst_given_up_runs.cpp
+++ b/src/plugins/jobs/tests/tst_given_up_runs.cpp
@@ -327,3 +327,76 @@
     for (const std::string& id : sim.accepted)
         CHECK(sim.completed(id));
 }
+
+// Guards against a target that is kept from work for good where no standby pool replaces its host.
+TEST_CASE("a target that keeps an end works again after a run that has ended with its lease")
+{
+    task_on_silent_target t;
+    t.complete(t.start_again());
+    const listed_end withheld = ended(t.starts[0], 1, run_end::done);
+    t.f.report(t.a, {}, {withheld});
+    REQUIRE_FALSE(t.accepts_work());
+    t.f.add_job("k", 40); // More than the other target has capacity for.
+    t.f.scheduler.plan(t.f.now());
+    CHECK(t.f.scheduler.begin_observation(t.a, t.f.now().now).deadline_ms == 0);
+    std::vector<start_command> here;
+    for (const start_command& s : t.f.plan_and_store()) {
+        if (s.target.id == t.a)
+            here.push_back(s);
+    }
+    REQUIRE(here.size() == 1);
+    CHECK(here[0].order.deadline_ms <= t.f.clock_ms() + to_ms(lease_settings{}.expiring));
+    t.f.confirm(here[0]);
+    CHECK(t.f.scheduler.begin_observation(t.a, t.f.now().now).deadline_ms == 0);
+    t.f.report(t.a, {running(here[0])}, {withheld});
+    t.f.advance(150ms);
+    t.f.report(t.a, {}, {withheld, ended(here[0], 2, run_end::lease_expired)});
+    CHECK(t.accepts_work());
+    CHECK(t.acknowledged() == 2);
+    for (const start_command& s : t.f.plan_and_store())
+        CHECK(s.order.deadline_ms > t.f.clock_ms() + 1000);
+}
+
+TEST_CASE("a target that was cut off works again where no pool is on standby")
+{
+    const std::uint64_t seed = GENERATE(81, 82, 83);
+    CAPTURE(seed);
+    fleet_simulation sim{seed};
+    sim.fleet.most_ends_listed = 500;
+    sim.fleet.run_time = [](const task_key&) { return duration{1s}; };
+    sim.run_for(3s);
+    sim.submit("j", 6);
+    sim.run_for(300ms);
+    const std::string host = sim.fleet.host_of({job_id{"j"}, {0, 0, 0}});
+    REQUIRE_FALSE(host.empty());
+    sim.fleet.set_cut(host, true);
+    sim.run_for(12s);
+    REQUIRE(sim.completed("j"));
+    sim.fleet.set_cut(host, false);
+    sim.run_for(1s);
+    // More tasks than the other targets can run at a time.
+    for (int i = 0; i < 6; ++i)
+        sim.submit("later" + std::to_string(i), 12);
+    sim.run_for(1500ms);
+    CHECK(sim.fleet.running_on(host).size() > 1);
+    sim.run_for(20s);
+    CHECK(sim.fleet.violations.empty());
+    for (const std::string& id : sim.accepted)
+        CHECK(sim.completed(id));
+}
+
+// Guards against a run whose end stands beyond the part of the list that the target reports.
+TEST_CASE("no run is placed on a target whose list has no place for its end")
+{
+    task_on_silent_target t;
+    t.complete(t.start_again());
+    target_report report;
+    report.clock_ms = t.f.clock_ms();
+    report.incarnation = 1;
+    report.ended = {ended(t.starts[0], 1, run_end::done)};
+    report.ends_until_cut_off = GENERATE(1, 2);
+    CAPTURE(report.ends_until_cut_off);
+    t.f.scheduler.on_report(t.a, report, t.f.now().now, t.f.now());
+    const bool accepts = accepts_expiring_run(t.f.scheduler.targets().at(t.a), t.f.now().now);
+    CHECK(accepts == (report.ends_until_cut_off == 2));
+}
--- a/src/plugins/jobs/tests/tst_host_orders.cpp
+++ b/src/plugins/jobs/tests/tst_host_orders.cpp
@@ -133,3 +133,47 @@
     CHECK(t.operations.send_limits.front() <= t.f.scheduler.views_recent_until());
     CHECK(t.operations.send_limits.front() <= t.loop.time().now() + 1s);
 }
+
+// Guards against idle hosts that take no work because moves that the platform refuses are chosen again at
+// once.
+TEST_CASE("hosts whose moves are refused take work until the moves are chosen again")
+{
+    scheduler_fixture f;
+    virtual_loop loop;
+    answered_host_operations operations;
+    fake_transaction_store store{loop};
+    fake_store_link link{loop, store};
+    log_sink sink{log_settings{}, loop.time(), [](const std::string&) {}};
+    host_manager manager{{},
+                         {f.scheduler, operations, link, loop.time(), logger{sink, "test"}},
+                         put_leader_key(store),
+                         [&loop] { return loop.time().now() + 1s; }};
+    std::vector<host_info> hosts;
+    for (const char* name : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+        const target_id target = f.add_target(name);
+        hosts.push_back(
+            {f.info_of(name).host, service_id{"fit"}, host_state::up, {32'000, 131'072, 0, 0}, target});
+    }
+    std::shared_ptr<fleet_config> config = std::make_shared<fleet_config>();
+    config->services.emplace(service_id{"fit"}, service_config{service_id{"fit"}, true, false});
+    config->services.emplace(service_id{"off"}, service_config{service_id{"off"}, true, true});
+    manager.set_config(config);
+    manager.restore({}, host_order_record{}, 0);
+    std::size_t refused = 0;
+    const auto play = [&] {
+        manager.tick();
+        for (; !operations.lists.empty(); operations.lists.pop_front())
+            operations.lists.front()(hosts);
+        for (; !operations.orders.empty(); operations.orders.pop_front(), ++refused)
+            operations.orders.front()(tl::unexpected{host_errc::no_such_host});
+    };
+    loop.run_for(6s, play);
+    REQUIRE(refused > 0);
+    const std::size_t before = refused;
+    loop.run_for(5s, play);
+    CHECK(refused == before);
+    CHECK(std::none_of(f.scheduler.targets().begin(), f.scheduler.targets().end(),
+                       [](const auto& entry) { return entry.second.cordoned; }));
+    loop.run_for(10s, play);
+    CHECK(refused > before);
+}
--- a/src/plugins/jobs/tests/tst_job_decisions.cpp
+++ b/src/plugins/jobs/tests/tst_job_decisions.cpp
@@ -293,3 +293,14 @@
     other.waiting = 0.0;
     CHECK(plan_moves({flood, other, quiet}, pool_plan_settings{}).empty());
 }
+
+// Guards against switching off the hosts of which only one kind can do the work that waits.
+TEST_CASE("a pool keeps its idle hosts while some of its waiting work can't use every host")
+{
+    pool_state p = make_pool("fit", 8, 0.5, 6, 10s);
+    pool_state off = make_pool("off", 0, 0.0, 0);
+    off.standby = true;
+    REQUIRE_FALSE(plan_moves({p, off}, pool_plan_settings{}).empty());
+    p.restricted = true;
+    CHECK(plan_moves({p, off}, pool_plan_settings{}).empty());
+}
--- a/src/plugins/jobs/tests/tst_target_capacity.cpp
+++ b/src/plugins/jobs/tests/tst_target_capacity.cpp
@@ -375,3 +375,21 @@
     CHECK(hosts_needed(need, {{}, {}}) == Approx(0.0));
     CHECK(hosts_needed(need, {}) == Approx(0.0));
 }
+
+TEST_CASE("work that waits for a label or for a place on another target counts as restricted")
+{
+    scheduler_fixture f;
+    f.add_target("a");
+    f.add_job("j", 1, 64'000);
+    CHECK_FALSE(f.scheduler.demand_of(service_id{"fit"}).restricted);
+    SECTION("label")
+    {
+        f.add_job("k", 1, 2000, [](step_spec& s) { s.required_label = std::string{"b"}; });
+    }
+    SECTION("number on each target")
+    {
+        f.add_job("k", 2, 2000, [](step_spec& s) { s.max_per_target = 1; });
+    }
+    f.plan_and_store();
+    CHECK(f.scheduler.demand_of(service_id{"fit"}).restricted);
+}
