--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -48,6 +48,10 @@
     /// Hosts whose zone is no longer evacuated count as idle one after the other at this interval, so that
     /// those that are not needed don't leave their pools at the same time.
     duration return_interval{std::chrono::milliseconds{300}};
+    /// Time for which no move is chosen for a host after one that had no effect, so that the host can work.
+    duration move_pause{std::chrono::milliseconds{3000}};
+    /// The same after the platform has refused a move for good.
+    duration refused_move_pause{std::chrono::seconds{10}};
     pool_plan_settings pools;
 };
 
@@ -167,6 +171,7 @@
     std::map<std::string, timestamp> last_listed_;
     std::map<std::string, timestamp> idle_since_;
     std::set<std::string> evacuated_hosts_;
+    std::map<std::string, timestamp> no_move_until_; ///< Hosts whose latest moves had no effect.
     std::map<std::string, pending_order> pending_orders_;
     std::map<std::string, wave_state> waves_;
     std::map<std::string, wave_record> restored_waves_;
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -89,13 +89,17 @@
 void job_scheduler::plan_pool(const service_id& service, service_queue& queue, scheduler_time time)
 {
     std::vector<target_status*> pool;
+    std::vector<target_status*> retired;
     for (const auto& [id, t] : targets_by_service_[service]) {
         if (accepts_work(*t, time.now))
             pool.push_back(t);
+        else if (accepts_expiring_run(*t, time.now))
+            retired.push_back(t);
     }
-    if (pool.empty())
+    if (pool.empty() && retired.empty())
         return;
     plan_isolated_tasks(service, pool, time);
+    pool.insert(pool.end(), retired.begin(), retired.end());
     // Free capacity only shrinks from here on.
     std::erase_if(pool, [&queue](const target_status* t) { return !queue.smallest_need.fits_in(t->free()); });
     if (pool.empty())
@@ -204,6 +208,8 @@
     run.suspected = is_suspected(t);
     t.run = std::move(run);
     reserve_capacity(open, p, *t.run);
+    // From now on observations would extend the lease.
+    target.expiring = target.may_expire(time.now);
     mark_changed(j);
     t.run->planned_change = j.last_change;
     // Each start begins at full pace, so several in a row would keep the latencies high.
@@ -223,7 +229,9 @@
         return;
     }
     target_status* target = find_target(t.run->target);
-    const std::optional<granted_lease> lease = leases_.grant(*target->clock, time.now);
+    const std::optional<granted_lease> lease = target->expiring
+                                                   ? leases_.grant_expiring(*target->clock, time.now)
+                                                   : leases_.grant(*target->clock, time.now);
     if (!lease) {
         discard_run(open, p, "another host may lead", time);
         return;
--- a/src/plugins/jobs/tests/fakes/fake_targets.cpp
+++ b/src/plugins/jobs/tests/fakes/fake_targets.cpp
@@ -273,8 +273,7 @@
     // An order on its way ends with the process that would have received it.
     const auto arrive = [this, to, effect, incarnation = receiver->info.incarnation](bool late) -> result {
         target* t = answering(to.endpoint);
-        const bool outlives = late && late_orders_outlive_crashes;
-        if (t == nullptr || (t->info.incarnation != incarnation && !outlives))
+        if (t == nullptr || t->info.incarnation != incarnation)
             return tl::unexpected{order_errc::no_answer};
         if (t->info.id != to.id)
             return tl::unexpected{order_errc::other_instance};
@@ -370,6 +369,7 @@
         report.ended = t.ended;
         report.complete = t.ended.size() < most_ends_listed;
         report.tells_of_all_runs = report.complete;
+        report.ends_until_cut_off = report.complete ? most_ends_listed - t.ended.size() : 0;
         if (!report.complete)
             report.ended.resize(most_ends_listed);
         for (const auto& [task, r] : t.running) {
