Take the median deviation of a pool as reference for its targets

Cause: with the mean, one slow target with a third of a pool's runs made the others look fast and their tasks long (tst_run_times).

Change: the reference is a running median. demand_of carries `restricted`.

--- a/src/plugins/jobs/run_time_model.cpp
+++ b/src/plugins/jobs/run_time_model.cpp
@@ -105,9 +105,9 @@
         return;
     const double deviation = std::clamp(std::log2(seconds_of(measured) / expected),
                                         -settings_.largest_deviation, settings_.largest_deviation);
-    deviation_history& pool = pools_[service];
-    targets_[target].add(deviation - pool.mean(), settings_.target_decay);
-    pool.add(deviation, settings_.pool_decay);
+    double& median = pool_medians_[service];
+    targets_[target].add(deviation - median, settings_.target_decay);
+    median += deviation > median ? settings_.median_step : -settings_.median_step;
 }
 
 run_expectation run_time_model::refine(const run_expectation& broader, const history& h,
--- a/src/plugins/jobs/run_time_model.h
+++ b/src/plugins/jobs/run_time_model.h
@@ -45,7 +45,8 @@
     double trusted_runs_of_target = 6.0;
     /// Part of a target's history that remains with each further run, so that it follows a change.
     double target_decay = 0.9;
-    double pool_decay = 0.99; ///< The same for what the runs of a pool have in common.
+    /// Octaves by which each run moves the median deviation of its pool.
+    double median_step = 0.02;
     /// Octaves by which one run may differ from the expectation in the history of its target. A few tasks are
     /// long on every target.
     double largest_deviation = 1.0;
@@ -104,7 +105,8 @@
     std::map<queue_id, history> queues_;
     std::map<run_class, history> classes_;
     std::map<target_id, deviation_history> targets_; ///< Without what the runs of their pool have in common.
-    std::map<service_id, deviation_history> pools_;
+    std::map<service_id, double>
+        pool_medians_; ///< Median deviation in octaves, which all runs have in common.
     std::uint64_t changes_ = 0;
 };
 
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -122,6 +122,7 @@
         demand.total += it->demand->total;
         demand.present += it->demand->present;
         demand.waiting += it->demand->waiting;
+        demand.restricted = demand.restricted || it->demand->restricted;
     }
     return demand;
 }
--- a/src/plugins/jobs/tests/tst_host_orders.cpp
+++ b/src/plugins/jobs/tests/tst_host_orders.cpp
@@ -210,7 +210,7 @@
     for (const char* name : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
         const target_id target = f.add_target(name);
         hosts.push_back(
-            {f.info_of(name).host, service_id{"fit"}, host_state::up, {32'000, 131'072, 0, 0}, target});
+            {f.info_of(name).host, service_id{"fit"}, host_state::up, {32'000, 131'072, 0, 0}, target, {}});
     }
     std::shared_ptr<fleet_config> config = std::make_shared<fleet_config>();
     config->services.emplace(service_id{"fit"}, service_config{service_id{"fit"}, true, false});
