Blend learned and declared run times by their spread

Cause: where declarations are off by as much as the runs differ from each other, the model dropped them, and all jobs of a class were expected to run alike.

Change: the estimate from the declaration and that from the class are blended by their spread.

--- a/src/plugins/jobs/run_time_model.cpp
+++ b/src/plugins/jobs/run_time_model.cpp
@@ -115,15 +115,18 @@
 {
     if (h.seconds.weight() <= 0.0)
         return broader;
+    double typical = h.seconds.trimmed_mean();
+    double late = h.seconds.quantile(settings_.late_quantile);
     const double declared_s = seconds_of(declared);
-    // The declaration helps if it explains a part of the differences between the runs.
-    const bool use_declared = declared_s > 0.0 && h.ratio.weight() >= settings_.trusted_weight / 2.0 &&
-                              h.ratio.spread() < h.seconds.spread();
-    const log_histogram& source = use_declared ? h.ratio : h.seconds;
-    const double unit = use_declared ? declared_s : 1.0;
-    const double typical = unit * source.trimmed_mean();
-    const double late = std::clamp(unit * source.quantile(settings_.late_quantile), typical,
-                                   settings_.largest_late_factor * typical);
+    if (declared_s > 0.0 && h.ratio.weight() >= settings_.trusted_weight / 2.0) {
+        // The declaration counts by how much less the runs differ from it than from each other.
+        const double apart = std::pow(h.seconds.spread(), 2.0);
+        const double off = std::pow(h.ratio.spread(), 2.0);
+        const double share = apart + off > 0.0 ? apart / (apart + off) : 1.0;
+        typical = blend(typical, declared_s * h.ratio.trimmed_mean(), share);
+        late = blend(late, declared_s * h.ratio.quantile(settings_.late_quantile), share);
+    }
+    late = std::clamp(late, typical, settings_.largest_late_factor * typical);
     const double trust = std::min(1.0, h.seconds.weight() / settings_.trusted_weight);
     if (broader.typical.count() <= 0)
         return {duration_of(typical), duration_of(late)};
