Leave learned run times off by default, and compute their figures once in 16 runs

Change: the figures of a class are kept and computed once in 16 runs; the setting learned_run_times is off by default. The scheduler's fixture switches it on.

All 244 cases of tst_jobs pass.

--- a/src/plugins/jobs/run_time_model.cpp
+++ b/src/plugins/jobs/run_time_model.cpp
@@ -89,16 +89,11 @@
         return;
     const double expected = seconds_of(expect(tasks, declared).typical);
     const double usual = seconds_of(measured) / slowness(target);
-    const auto add = [&](history& h) {
-        h.seconds.add(usual);
-        if (declared.count() > 0)
-            h.ratio.add(usual / seconds_of(declared));
-    };
     history& of_class = history_of(tasks);
     const bool trusted = of_class.seconds.weight() >= settings_.trusted_weight;
-    add(of_class);
+    add(of_class, usual, seconds_of(declared));
     if (queues_.size() < settings_.max_queues || queues_.contains(tasks.queue))
-        add(queues_[tasks.queue]);
+        add(queues_[tasks.queue], usual, seconds_of(declared));
     ++changes_;
     // A declaration that is off would count as the speed of the targets.
     if (!trusted || expected <= 0.0)
@@ -110,21 +105,40 @@
     median += deviation > median ? settings_.median_step : -settings_.median_step;
 }
 
+void run_time_model::add(history& h, double seconds, double declared_s) const
+{
+    h.seconds.add(seconds);
+    if (declared_s > 0.0)
+        h.ratio.add(seconds / declared_s);
+    ++h.runs;
+    if (h.seconds.weight() < settings_.trusted_weight || h.runs % settings_.runs_per_summary == 0)
+        summarize(h);
+}
+
+void run_time_model::summarize(history& h) const
+{
+    const auto summary_of = [this](const log_histogram& it) {
+        return summary{it.trimmed_mean(), it.quantile(settings_.late_quantile), it.spread()};
+    };
+    h.of_seconds = summary_of(h.seconds);
+    h.of_ratio = summary_of(h.ratio);
+}
+
 run_expectation run_time_model::refine(const run_expectation& broader, const history& h,
                                        duration declared) const
 {
     if (h.seconds.weight() <= 0.0)
         return broader;
-    double typical = h.seconds.trimmed_mean();
-    double late = h.seconds.quantile(settings_.late_quantile);
+    double typical = h.of_seconds.mean;
+    double late = h.of_seconds.late;
     const double declared_s = seconds_of(declared);
     if (declared_s > 0.0 && h.ratio.weight() >= settings_.trusted_weight / 2.0) {
         // The declaration counts by how much less the runs differ from it than from each other.
-        const double apart = std::pow(h.seconds.spread(), 2.0);
-        const double off = std::pow(h.ratio.spread(), 2.0);
+        const double apart = std::pow(h.of_seconds.spread, 2.0);
+        const double off = std::pow(h.of_ratio.spread, 2.0);
         const double share = apart + off > 0.0 ? apart / (apart + off) : 1.0;
-        typical = blend(typical, declared_s * h.ratio.trimmed_mean(), share);
-        late = blend(late, declared_s * h.ratio.quantile(settings_.late_quantile), share);
+        typical = blend(typical, declared_s * h.of_ratio.mean, share);
+        late = blend(late, declared_s * h.of_ratio.late, share);
     }
     late = std::clamp(late, typical, settings_.largest_late_factor * typical);
     const double trust = std::min(1.0, h.seconds.weight() / settings_.trusted_weight);
@@ -175,6 +189,7 @@
             history h;
             if (!decode_histogram(row.at(3), h.seconds) || !decode_histogram(row.at(4), h.ratio))
                 return std::nullopt;
+            out.summarize(h);
             if (row.at(1).is_null())
                 out.queues_[queue] = h;
             else if (out.classes_.size() < settings.max_classes)
--- a/src/plugins/jobs/run_time_model.h
+++ b/src/plugins/jobs/run_time_model.h
@@ -41,6 +41,8 @@
     /// Multiple of the typical run time that the late one doesn't exceed, in a class of short and long tasks.
     double largest_late_factor = 8.0;
     double late_quantile = 0.95;
+    /// Runs after which the figures of a class that is known well are computed anew.
+    std::uint64_t runs_per_summary = 16;
     /// Runs that a target must have finished before it counts as slow or fast.
     double trusted_runs_of_target = 6.0;
     /// Part of a target's history that remains with each further run, so that it follows a change.
@@ -78,9 +80,18 @@
                                                               run_time_settings settings);
 
 private:
+    /// Figures of a histogram, computed once for several runs.
+    struct summary {
+        double mean = 0.0;
+        double late = 0.0;
+        double spread = 0.0; ///< In octaves.
+    };
     struct history {
         log_histogram seconds;
         log_histogram ratio; ///< Measured to declared run times.
+        summary of_seconds;
+        summary of_ratio;
+        std::uint64_t runs = 0;
     };
     /// Deviations of runs from the expectation.
     struct deviation_history {
@@ -98,6 +109,8 @@
 
     /// Returns the history of the class, in place of that with the least weight if there are too many.
     history& history_of(const run_class& tasks);
+    void add(history& h, double seconds, double declared_s) const;
+    void summarize(history& h) const;
     [[nodiscard]] run_expectation refine(const run_expectation& broader, const history& h,
                                          duration declared) const;
 
--- a/src/plugins/jobs/scheduler_settings.h
+++ b/src/plugins/jobs/scheduler_settings.h
@@ -62,7 +62,7 @@
     duration run_check_interval{std::chrono::milliseconds{100}};
     /// Whether expected run times are learned from finished runs. Otherwise they are those that callers
     /// declare.
-    bool learn_run_times = true;
+    bool learn_run_times = false;
     run_time_settings run_times;
     straggler_settings stragglers;
     crash_settings crashes;
--- a/src/plugins/jobs/tests/scheduler_fixture.cpp
+++ b/src/plugins/jobs/tests/scheduler_fixture.cpp
@@ -21,11 +21,19 @@
     return config;
 }
 
+scheduler_settings make_settings()
+{
+    scheduler_settings settings;
+    settings.learn_run_times = true;
+    return settings;
+}
+
 } // namespace
 
 scheduler_fixture::scheduler_fixture()
-    : scheduler{
-          {}, token, {now_, unix_ms_}, [this](const scheduler_log_entry& n) { log_entries.push_back(n); }}
+    : scheduler{make_settings(), token, {now_, unix_ms_}, [this](const scheduler_log_entry& n) {
+                    log_entries.push_back(n);
+                }}
 {
     scheduler.set_config(make_config());
     scheduler.set_view_times({now_, now_, now_});
