Build the deployed program without tests, reviews, ccache or fatal warnings

Cause: the configuration of the build named the sources of all tests, and since the tests of misbehaving clients also the stand-ins in review/, so that it failed in a checkout without them. It also used ccache, which no list of packages of the deployment names, wherever it found one, and ended at any warning, which another compiler may give.

Change: MJM_WITH_TESTS builds the tests, and the tools that link their fakes; MJM_WARNINGS_AS_ERRORS makes warnings fatal.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -25,7 +25,7 @@
     mkdir -p "$out"
     {
         bash .ci/setup
-        cmake -S . -B build -G Ninja
+        cmake -S . -B build -G Ninja -DMJM_WITH_TESTS=ON
         cmake --build build -j "$jobs" --target mjm_entry mjm_platform_standin mjm_target_standin \
             mjm_load mjm_timeline
     } >"$out/build.log" 2>&1 || { tail -n 30 "$out/build.log"; exit 1; }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,12 +4,15 @@
 cd "$(dirname "$0")/.."
 jobs=$(nproc)
 bash .ci/setup
+export CMAKE_CXX_COMPILER_LAUNCHER=ccache
+options="-DMJM_WITH_TESTS=ON -DMJM_WARNINGS_AS_ERRORS=ON"
 
 echo "== format"
 git ls-files '*.h' '*.cpp' | xargs clang-format --dry-run --Werror
 
 echo "== build"
-cmake -S . -B build -G Ninja >build-configure.log 2>&1 || { cat build-configure.log; exit 1; }
+# shellcheck disable=SC2086
+cmake -S . -B build -G Ninja $options >build-configure.log 2>&1 || { cat build-configure.log; exit 1; }
 cmake --build build -j "$jobs"
 
 echo "== lint"
@@ -26,7 +29,8 @@
 sanitized_tests() {
     local kind=$1 dir=$2 names=$3
     echo "== sanitizer $kind"
-    cmake -S . -B "$dir" -G Ninja -DMJM_SANITIZE="$kind" -DCMAKE_BUILD_TYPE=None \
+    # shellcheck disable=SC2086
+    cmake -S . -B "$dir" -G Ninja $options -DMJM_SANITIZE="$kind" -DCMAKE_BUILD_TYPE=None \
         -DCMAKE_CXX_FLAGS="-O1 -g1 -Wno-maybe-uninitialized" >build-configure.log 2>&1 ||
         { cat build-configure.log; exit 1; }
     # shellcheck disable=SC2086
