Survive an exception on the decision thread

Cause: callers' requests were handled within a try block, but not ticks, answers of the store, of targets and of the host service.

Change: the executor reports an exception to the thread's failure handler and runs the other work.

Result: without the failure handler the new case of tst_duty_thread ends by SIGABRT; with it, 9 of 9 pieces of work run and 4 failures are reported.

--- a/src/libs/kernel/duty_thread.cpp
+++ b/src/libs/kernel/duty_thread.cpp
@@ -1,9 +1,12 @@
 #include "kernel/duty_thread.h"
 
+#include "kernel/failure_report.h"
+
 #include <pthread.h>
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <utility>
 
 namespace mjm {
@@ -11,6 +14,7 @@
 duty_thread::duty_thread(duty_thread_settings settings, std::function<void()> tick)
     : settings_{std::move(settings)}, tick_{std::move(tick)}, executor_{settings_.request_capacity}
 {
+    executor_.set_failure_handler([this](std::string_view what) { on_failure(what); });
 }
 
 duty_thread::~duty_thread()
@@ -38,6 +42,18 @@
     return id_.load() == std::this_thread::get_id();
 }
 
+void duty_thread::on_failure(std::string_view what) const noexcept
+{
+    report_failure("work_failed", what);
+    if (!settings_.on_failure)
+        return;
+    try {
+        settings_.on_failure(what);
+    } catch (const std::exception& e) {
+        report_failure("work_failed", e.what());
+    }
+}
+
 void duty_thread::run()
 {
     id_ = std::this_thread::get_id();
@@ -46,7 +62,7 @@
     while (!stopping_) {
         const steady::time_point now = steady::now();
         if (now >= next_tick) {
-            tick_();
+            executor_.run(tick_);
             next_tick = std::max(next_tick + settings_.tick_interval, now);
             continue;
         }
--- a/src/libs/kernel/duty_thread.h
+++ b/src/libs/kernel/duty_thread.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <thread>
 
 namespace mjm {
@@ -13,6 +14,9 @@
     std::string name; ///< Shown by the operating system; cut to 15 bytes.
     std::size_t request_capacity = 1024;
     duration tick_interval{std::chrono::milliseconds{100}};
+    /// Called on the thread after a tick or a piece of work has thrown an exception; may be null. The failure
+    /// has been reported to standard error by then, and the thread goes on.
+    std::function<void(std::string_view what)> on_failure = {};
 };
 
 /// A thread that drives one component: it runs the work posted to its executor, and calls `tick` at an
@@ -36,6 +40,7 @@
 
 private:
     void run();
+    void on_failure(std::string_view what) const noexcept;
 
     const duty_thread_settings settings_;
     const std::function<void()> tick_;
--- a/src/libs/kernel/ring_executor.cpp
+++ b/src/libs/kernel/ring_executor.cpp
@@ -1,10 +1,26 @@
 #include "kernel/ring_executor.h"
 
+#include <exception>
 #include <optional>
 #include <utility>
 
 namespace mjm {
 
+void ring_executor::run(const work& item)
+{
+    if (!on_failure_) {
+        item();
+        return;
+    }
+    try {
+        item();
+    } catch (const std::exception& e) {
+        on_failure_(e.what());
+    } catch (...) {
+        on_failure_("an exception of an unknown type");
+    }
+}
+
 void ring_executor::post(work reply)
 {
     post_to(replies_, std::move(reply));
@@ -38,7 +54,7 @@
     if (n == 0)
         n = run_replies();
     if (request) {
-        (*request)();
+        run(*request);
         ++n;
     }
     return n;
@@ -67,7 +83,7 @@
 {
     std::size_t n = run_urgent_replies();
     for (const work& reply : take(replies_)) {
-        reply();
+        run(reply);
         n += 1 + run_urgent_replies();
     }
     return n;
@@ -77,7 +93,7 @@
 {
     const std::deque<work> batch = take(urgent_replies_);
     for (const work& reply : batch)
-        reply();
+        run(reply);
     return batch.size();
 }
 
--- a/src/libs/kernel/ring_executor.h
+++ b/src/libs/kernel/ring_executor.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <string_view>
 #include <utility>
 
 namespace mjm {
@@ -21,6 +22,15 @@
 
     explicit ring_executor(std::size_t request_capacity) : requests_{request_capacity} {}
 
+    /// Sets what is called on the consumer's thread, with the message, when work has thrown an exception. The
+    /// other work still runs. Without a handler the exception reaches the consumer.
+    void set_failure_handler(std::function<void(std::string_view what)> handler)
+    {
+        on_failure_ = std::move(handler);
+    }
+    /// Runs `item` on the calling thread, and reports an exception likewise.
+    void run(const work& item);
+
     /// Queues a reply. Never refused; after `close` it stays queued and runs only if the consumer drains.
     void post(work reply) override;
     /// Returns an executor for replies that must not wait behind a long queue of others. They are to be few,
@@ -57,6 +67,7 @@
     /// Runs the urgent replies that are queued when it is called.
     std::size_t run_urgent_replies();
 
+    std::function<void(std::string_view)> on_failure_;
     bounded_ring<work> requests_;
     mutable std::mutex replies_mutex_;
     std::deque<work> replies_;
--- a/src/libs/kernel/tests/tst_duty_thread.cpp
+++ b/src/libs/kernel/tests/tst_duty_thread.cpp
@@ -2,7 +2,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <future>
+#include <new>
+#include <stdexcept>
+#include <string>
+#include <vector>
 
 using namespace mjm;
 
@@ -141,3 +146,48 @@
     ring_executor::work late = [] {};
     CHECK_FALSE(thread.executor().try_post(late));
 }
+
+// Guards against an exception of one piece of work that ends the process.
+TEST_CASE("an exception of a tick, a reply or a request ends neither the thread nor other work")
+{
+    std::vector<std::string> failures;
+    std::promise<void> ticked;
+    int ticks = 0;
+    duty_thread_settings with_handler = settings(8, std::chrono::milliseconds{1});
+    with_handler.on_failure = [&failures](std::string_view what) {
+        failures.emplace_back(what);
+        throw std::runtime_error("the handler fails, too");
+    };
+    duty_thread thread{with_handler, [&] {
+                           if (++ticks == 1)
+                               throw std::runtime_error("tick");
+                           if (ticks == 2)
+                               ticked.set_value();
+                       }};
+    int ran = 0;
+    for (int n = 0; n < 3; ++n) {
+        thread.executor().post([&ran, n] {
+            ++ran;
+            if (n == 0)
+                throw std::out_of_range("reply");
+        });
+        thread.executor().urgent().post([&ran, n] {
+            ++ran;
+            if (n == 1)
+                throw 7;
+        });
+        ring_executor::work request = [&ran, n] {
+            ++ran;
+            if (n == 2)
+                throw std::bad_alloc();
+        };
+        REQUIRE(thread.executor().try_post(request));
+    }
+    thread.start();
+    ticked.get_future().wait();
+    thread.stop();
+    CHECK(ran == 9);
+    CHECK(failures.size() == 4);
+    CHECK(std::count(failures.begin(), failures.end(), "reply") == 1);
+    CHECK(std::count(failures.begin(), failures.end(), "tick") == 1);
+}
--- a/src/libs/net/io_runtime.cpp
+++ b/src/libs/net/io_runtime.cpp
@@ -27,6 +27,8 @@
                 context_.run();
             } catch (const std::exception& e) {
                 std::fprintf(stderr, "{\"event\":\"network_callback_failed\",\"detail\":\"%s\"}\n", e.what());
+            } catch (...) {
+                std::fputs("{\"event\":\"network_callback_failed\"}\n", stderr);
             }
         }
     }
--- a/src/plugins/jobs/job_node.cpp
+++ b/src/plugins/jobs/job_node.cpp
@@ -92,6 +92,11 @@
         leader_->set_requests(requests_);
 }
 
+void job_node::recover(const std::string& why)
+{
+    election_.recover(why);
+}
+
 void job_node::resign()
 {
     election_.resign();
--- a/src/plugins/jobs/job_node.h
+++ b/src/plugins/jobs/job_node.h
@@ -46,6 +46,9 @@
     void set_waves(const std::map<std::string, maintenance_wave>& waves);
     /// Sets the zones to whose targets nothing more is sent.
     void set_evacuated_zones(const std::set<zone_id>& zones);
+    /// Gives up what an exception may have left inconsistent: this host's term as leader, whose state the
+    /// next leader reads from the store. This host remains a candidate.
+    void recover(const std::string& why);
     /// Resigns the leadership for good. Callers' requests are still answered.
     void resign();
 
--- a/src/plugins/jobs/leadership.cpp
+++ b/src/plugins/jobs/leadership.cpp
@@ -72,6 +72,12 @@
         not_before_ = time_.now() + settings_.retry;
     }
 
+    void recover(const std::string& why)
+    {
+        step_down(why);
+        pause();
+    }
+
     void end()
     {
         ended_ = true;
@@ -273,6 +279,11 @@
     impl_->step_down(why);
 }
 
+void leadership::recover(const std::string& why)
+{
+    impl_->recover(why);
+}
+
 bool leadership::leading() const
 {
     return impl_->leading();
--- a/src/plugins/jobs/leadership.h
+++ b/src/plugins/jobs/leadership.h
@@ -69,6 +69,9 @@
     void resign();
     /// Ends the current term because a newer leader exists. This host remains a candidate.
     void step_down(const std::string& why);
+    /// Ends the current term, and an attempt to lead, after an exception may have interrupted either. This
+    /// host remains a candidate.
+    void recover(const std::string& why);
 
     [[nodiscard]] bool leading() const;
     /// Returns the time until which no other host can lead; the epoch if this one does not.
--- a/src/plugins/jobs/prefix_watch.cpp
+++ b/src/plugins/jobs/prefix_watch.cpp
@@ -89,7 +89,7 @@
         after_.clear();
         reload_ = false;
         const std::vector<kv_entry> entries = std::exchange(snapshot_, {});
-        handler_.on_snapshot(entries);
+        report([&] { handler_.on_snapshot(entries); });
         reported_revision_ = revision_;
         view_time_ = std::max(view_time_, sent_at_);
         if (!ended_)
@@ -127,7 +127,7 @@
             for (const store_change& it : changes->changes) {
                 if (ended_)
                     return;
-                handler_.on_change(it);
+                report([&] { handler_.on_change(it); });
             }
             reported_revision_ = revision_;
             // The store answers as soon as there are changes, so an answer without any lacks none.
@@ -137,6 +137,19 @@
             tick();
     }
 
+    /// What a handler failed on, and what follows it, is reported again by a listing.
+    template <typename Report>
+    void report(Report call)
+    {
+        try {
+            call();
+        } catch (...) {
+            reload();
+            not_before_ = time_.now() + settings_.retry;
+            throw;
+        }
+    }
+
     void on_answer()
     {
         last_answer_at_ = time_.now();
--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -70,6 +70,41 @@
     CHECK(encode_owner({queue_id{"q"}, team_id{"a\r\n\u00e4"}}) == R"({"queue":"q","team":"a\r\n\u00e4"})");
 }
 
+// Guards against a leader that goes on with what an exception has left inconsistent, or that never leads
+// again.
+TEST_CASE("a host that recovers from a failed decision ends its term, and jobs complete under the next one")
+{
+    fleet_simulation f{4};
+    f.run_for(1s);
+    for (int i = 0; i < 4; ++i)
+        f.submit("j" + std::to_string(i), 4);
+    f.run_for(300ms);
+    entry_host* first = f.leader();
+    REQUIRE(first != nullptr);
+    first->node->recover("a decision has failed");
+    f.run_for(50ms);
+    CHECK(first->node->leader() == nullptr);
+    f.run_for(15s);
+    CHECK(f.leader() != nullptr);
+    for (const std::string& id : f.accepted)
+        CHECK(f.completed(id));
+    CHECK(f.fleet.violations.empty());
+    // Also a host that doesn't lead, and one that is about to, remains a candidate.
+    for (int i = 0; i < 3; ++i) {
+        entry_host* leader = f.leader();
+        REQUIRE(leader != nullptr);
+        leader->node->recover("a decision has failed");
+        f.run_for(200ms);
+        leader->node->recover("a decision has failed");
+        f.run_for(6s);
+    }
+    REQUIRE(f.leader() != nullptr);
+    f.submit("last", 2);
+    f.run_for(10s);
+    CHECK(f.completed("last"));
+    CHECK(f.fleet.violations.empty());
+}
+
 // Guards against a job that was reported as completed and is unknown as such to the next leader. A leader
 // that had lost the store reported the completion from memory, and then the targets crashed, so that the last
 // tasks ran twice (rule TWICE).
--- a/src/plugins/jobs/tests/tst_prefix_watch.cpp
+++ b/src/plugins/jobs/tests/tst_prefix_watch.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <map>
+#include <new>
+#include <set>
 
 using namespace mjm;
 using namespace std::chrono_literals;
@@ -253,3 +255,43 @@
     }
     CHECK(sim.fleet.violations.empty());
 }
+
+// Guards against a change that is lost because the handler of it, or of one before it, has failed.
+TEST_CASE("changes are reported again after a handler has thrown an exception")
+{
+    virtual_loop loop;
+    fake_transaction_store store{loop};
+    fake_store_link link{loop, store};
+    std::set<std::string> reported;
+    int failures = 0;
+    const auto note = [&](const std::string& key) {
+        if (key == "p/bad" && ++failures <= 2)
+            throw std::bad_alloc();
+        reported.insert(key);
+    };
+    prefix_watch::handler h;
+    h.on_snapshot = [&](const std::vector<kv_entry>& entries) {
+        for (const kv_entry& e : entries)
+            note(e.key);
+    };
+    h.on_change = [&](const store_change& change) { note(change.entry.key); };
+    prefix_watch watch{link, loop.time(), prefix_watch_settings{"p/", 300ms}, h};
+    const auto run_for = [&](duration d) {
+        const timestamp until = loop.time().now() + d;
+        while (loop.time().now() < until) {
+            // As the thread that the watch runs on does.
+            try {
+                loop.run_for(10ms, [&] { watch.tick(); });
+            } catch (const std::bad_alloc&) {
+                continue;
+            }
+        }
+    };
+    run_for(1s);
+    store.put("p/bad", "1");
+    store.put("p/next", "1");
+    run_for(3s);
+    CHECK(failures >= 3);
+    CHECK(reported == std::set<std::string>{"p/bad", "p/next"});
+    CHECK(loop.time().now() - watch.view_time() < 1s);
+}
