Survive exceptions on the threads of the log and of signals

Cause: an output of the log, or a callback of a drain, that threw an exception ended the process.

Change: lines that the output doesn't take are counted with those that were dropped; a failing callback of a drain is reported, and the drain goes on.

Result: both new cases end their test program by SIGABRT without the change.

--- a/src/libs/kernel/signal_drain.cpp
+++ b/src/libs/kernel/signal_drain.cpp
@@ -1,5 +1,7 @@
 #include "kernel/signal_drain.h"
 
+#include "kernel/failure_report.h"
+
 #include <fcntl.h>
 #include <poll.h>
 #include <unistd.h>
@@ -8,6 +10,7 @@
 #include <cerrno>
 #include <chrono>
 #include <csignal>
+#include <exception>
 #include <optional>
 #include <stdexcept>
 #include <system_error>
@@ -62,6 +65,17 @@
     }
 }
 
+/// A callback that fails must not keep the drain from ending.
+template <typename Callback>
+void call(const Callback& callback)
+{
+    try {
+        callback();
+    } catch (const std::exception& e) {
+        report_failure("drain_failed", e.what());
+    }
+}
+
 } // namespace
 
 signal_drain::signal_drain(duration deadline, std::function<void()> on_drain,
@@ -111,12 +125,12 @@
         return;
     state_ = drain_state::draining;
     const std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::now() + deadline_;
-    on_drain_();
+    call(on_drain_);
     const std::optional<char> byte = next_byte(deadline);
     if (byte == quit_byte)
         return;
     state_ = drain_state::ended;
-    on_end_(byte ? drain_end::second_signal : drain_end::deadline);
+    call([&] { on_end_(byte ? drain_end::second_signal : drain_end::deadline); });
     // Reads on, so that the pipe always has room for the destructor's byte.
     while (next_byte(std::nullopt) != quit_byte)
         continue;
--- a/src/libs/kernel/tests/tst_signal_drain.cpp
+++ b/src/libs/kernel/tests/tst_signal_drain.cpp
@@ -50,3 +50,13 @@
     CHECK(before.sa_handler == after.sa_handler);
     CHECK_FALSE(called);
 }
+
+// Guards against a callback that fails and ends the process within its grace time.
+TEST_CASE("a drain whose callback throws an exception still ends")
+{
+    std::promise<drain_end> ended;
+    const signal_drain drain{duration::zero(), [] { throw std::runtime_error("no memory"); },
+                             [&ended](drain_end end) { ended.set_value(end); }};
+    raise(SIGTERM);
+    CHECK(ended.get_future().get() == drain_end::deadline);
+}
--- a/src/libs/logging/log_sink.cpp
+++ b/src/libs/logging/log_sink.cpp
@@ -12,9 +12,11 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <charconv>
 #include <chrono>
 #include <ctime>
+#include <exception>
 #include <fstream>
 #include <optional>
 #include <stdexcept>
@@ -192,7 +194,7 @@
 
     /// Drops and counts the line if the queue is full.
     void push(std::string line) { static_cast<void>(ring_.try_push(line)); }
-    [[nodiscard]] std::size_t dropped() const { return ring_.rejected(); }
+    [[nodiscard]] std::size_t dropped() const { return ring_.rejected() + failed_; }
 
 private:
     void run()
@@ -211,25 +213,36 @@
                 *lines += '\n';
                 *lines += *next;
             }
-            output_->write(*lines);
+            write(*lines);
             report_drops();
         }
         report_drops();
     }
 
+    /// An output that fails, as for want of memory, must not end the process.
+    void write(const std::string& lines)
+    {
+        try {
+            output_->write(lines);
+        } catch (const std::exception&) {
+            failed_ += 1 + static_cast<std::size_t>(std::count(lines.begin(), lines.end(), '\n'));
+        }
+    }
+
     void report_drops()
     {
-        const std::size_t total = ring_.rejected();
+        const std::size_t total = ring_.rejected() + failed_;
         if (total == reported_)
             return;
         const std::array<log_field, 1> fields{log_field{"dropped", total - reported_}};
         reported_ = total;
-        output_->write(format_line(time_.wall_now(), log_level::warn, "logging", "log_dropped", fields));
+        write(format_line(time_.wall_now(), log_level::warn, "logging", "log_dropped", fields));
     }
 
     std::unique_ptr<line_output> output_;
     const clock& time_;
     bounded_ring<std::string> ring_;
+    std::atomic<std::size_t> failed_ = 0; ///< Lines that the output didn't take.
     std::size_t reported_ = 0;
     std::thread thread_;
 };
--- a/src/libs/logging/tests/tst_logging.cpp
+++ b/src/libs/logging/tests/tst_logging.cpp
@@ -187,3 +187,23 @@
     CHECK(make_log_schema().parse(R"({"destination": "file"})", "f").error()[0].code ==
           settings_errc::contradiction);
 }
+
+// Guards against an output that fails, as for want of memory, and ends the process.
+TEST_CASE("lines that the output doesn't take are counted, and later ones are written")
+{
+    std::vector<std::string> lines;
+    manual_clock time;
+    {
+        log_sink sink{log_settings{}, time, [&lines](const std::string& line) {
+                          if (line.find("lost") != std::string::npos)
+                              throw std::bad_alloc();
+                          lines.push_back(line);
+                      }};
+        const logger log{sink, "net"};
+        log.info("lost");
+        log.info("kept");
+    }
+    REQUIRE(lines.size() == 2);
+    CHECK(lines[0].find(R"("dropped":1)") != std::string::npos);
+    CHECK(lines[1].find("kept") != std::string::npos);
+}
