Start with any settings that the platform may fill in

Where a deployment has no value, the template left nothing after the colon, so that the file was no JSON, or null, which was refused. Every process of such a deployment was missing.

Change: a schema can accept generated texts: null is a missing value, numbers have any form, and one above the range counts as its end. What can't be used is an error with the setting's name, the default takes its place, and only the addresses without which nothing can be served are required.

--- a/src/libs/kernel/program_options.h
+++ b/src/libs/kernel/program_options.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <type_traits>
 #include <vector>
 
 namespace mjm {
@@ -60,7 +61,8 @@
 } // namespace program_detail
 
 /// Parses the command line, reads the settings (defaults without `--settings`) and runs `body`, which
-/// returns the exit code. With `--check-settings` only the settings are read.
+/// returns the exit code. With `--check-settings` only the settings are read. A `body` that also takes the
+/// errors runs with the settings that can be used, unless one without a default is missing.
 template <typename S, typename Body>
 [[nodiscard]] int run_program(program_options& options, const settings_schema<S>& schema, int argc,
                               const char* const* argv, Body body)
@@ -72,17 +74,24 @@
         return exit_success;
     }
     const std::string& file = options.settings_file();
-    const tl::expected<S, settings_errors> settings =
-        file.empty() ? schema.parse("{}", "(defaults)") : schema.load(file);
-    if (!settings) {
-        program_detail::print_errors(argv[0], settings.error());
+    constexpr bool accepts_errors = std::is_invocable_v<Body, const S&, const settings_errors&>;
+    const settings_reading<S> reading =
+        file.empty() ? schema.read("{}", "(defaults)") : schema.read_file(file);
+    const bool usable = accepts_errors && !options.check_settings() && !reading.is_fatal();
+    if (!reading.errors.empty() && !usable) {
+        program_detail::print_errors(argv[0], reading.errors);
         return exit_settings_error;
     }
     if (options.check_settings()) {
         program_detail::print("settings are valid\n");
         return exit_success;
     }
-    return program_detail::guarded([&body, &settings] { return body(*settings); });
+    return program_detail::guarded([&body, &reading] {
+        if constexpr (accepts_errors)
+            return body(reading.settings, reading.errors);
+        else
+            return body(reading.settings);
+    });
 }
 
 } // namespace mjm
--- a/src/libs/kernel/tests/tst_program_options.cpp
+++ b/src/libs/kernel/tests/tst_program_options.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 
 #include <stdexcept>
+#include <utility>
+#include <vector>
 
 using namespace mjm;
 
@@ -65,3 +67,23 @@
     CHECK(result.ran);
     CHECK(result.team == "red");
 }
+
+TEST_CASE("a program that accepts errors runs with the settings that can be used")
+{
+    settings_schema<test_settings> schema;
+    schema.integer("port", &test_settings::port, 2, 3, "Port.", presence::expected);
+    const auto run_with = [&schema](std::vector<const char*> args) {
+        args.insert(args.begin(), "test");
+        program_options options{{"test", "1.2", "Test program."}};
+        std::size_t found = 0;
+        const int code = run_program(options, schema, static_cast<int>(args.size()), args.data(),
+                                     [&found](const test_settings& s, const settings_errors& errors) {
+                                         found = errors.size();
+                                         return s.port == 1 ? exit_success : exit_runtime_failure;
+                                     });
+        return std::pair{code, found};
+    };
+    CHECK(run_with({}) == std::pair{exit_success, std::size_t{1}});
+    CHECK(run_with({"--check-settings"}) == std::pair{exit_settings_error, std::size_t{0}});
+    CHECK(run_with({"--settings", "/nonexistent"}) == std::pair{exit_settings_error, std::size_t{0}});
+}
--- a/src/libs/settings/settings_errors.h
+++ b/src/libs/settings/settings_errors.h
@@ -38,6 +38,7 @@
     std::string path;    ///< Key path, for example `hosts[2].port`; empty for the whole file.
     std::string found;   ///< JSON text of the value, shortened.
     std::string allowed; ///< What the schema allows there.
+    bool fatal = false;  ///< The program can't run without the value; any other has a default.
 };
 
 using settings_errors = std::vector<settings_error>;
--- a/src/libs/settings/settings_fields.cpp
+++ b/src/libs/settings/settings_fields.cpp
@@ -87,7 +87,7 @@
 {
     switch (f.kind) {
     case field_kind::string:
-        return range_of(f) + " bytes";
+        return f.accepts ? f.form : range_of(f) + " bytes";
     case field_kind::integer:
     case field_kind::duration_ms:
         return range_of(f);
@@ -132,25 +132,33 @@
             const bool known = std::any_of(fields.begin(), fields.end(),
                                            [&it](const field& f) { return f.key == it.key(); });
             if (!known)
-                report(settings_errc::unknown_key, prefix + it.key(), text_of(*it), keys_of(table));
+                note(settings_errc::unknown_key, prefix + it.key(), text_of(*it), keys_of(table));
         }
         for (const field& f : table.fields()) {
             const json::const_iterator it = value.find(f.key);
-            if (it != value.end())
-                read_field(f, *it, prefix + f.key, object);
-            else if (f.required)
-                report(settings_errc::missing_key, prefix + f.key, "nothing", allowed_text(f));
+            fatal_ = f.required;
+            if (it != value.end() && !(table.generated() && it->is_null()))
+                read_field(f, *it, prefix + f.key, object, table.generated());
+            else if (f.required || f.expected)
+                note(settings_errc::missing_key, prefix + f.key, "nothing", allowed_text(f));
+            fatal_ = false;
         }
         for (const rule& r : table.rules())
             apply_rule(r, value, prefix, object);
     }
 
+    /// Adds an error that concerns the whole text.
     void report(settings_errc code, const std::string& path, std::string found, std::string allowed)
     {
-        errors_.push_back({code, file_, path, std::move(found), std::move(allowed)});
+        errors_.push_back({code, file_, path, std::move(found), std::move(allowed), true});
     }
 
 private:
+    void note(settings_errc code, const std::string& path, std::string found, std::string allowed)
+    {
+        errors_.push_back({code, file_, path, std::move(found), std::move(allowed), fatal_});
+    }
+
     static std::string keys_of(const field_table& table)
     {
         std::vector<std::string> keys;
@@ -161,14 +169,14 @@
 
     void wrong_type(const field& f, const json& value, const std::string& path)
     {
-        report(settings_errc::wrong_type, path, text_of(value), allowed_text(f));
+        note(settings_errc::wrong_type, path, text_of(value), allowed_text(f));
     }
     void out_of_range(const field& f, const json& value, const std::string& path)
     {
-        report(settings_errc::out_of_range, path, text_of(value), allowed_text(f));
+        note(settings_errc::out_of_range, path, text_of(value), allowed_text(f));
     }
 
-    void read_field(const field& f, const json& value, const std::string& path, void* object)
+    void read_field(const field& f, const json& value, const std::string& path, void* object, bool generated)
     {
         switch (f.kind) {
         case field_kind::string:
@@ -177,13 +185,13 @@
             return read_text_field(f, value, path, object);
         case field_kind::integer:
         case field_kind::duration_ms:
-            return read_integer(f, value, path, object);
+            return generated ? read_any_number(f, value, path, object) : read_integer(f, value, path, object);
         case field_kind::real:
             if (!value.is_number())
                 return wrong_type(f, value, path);
-            if (value.get<double>() < f.real_min || value.get<double>() > f.real_max)
+            if (value.get<double>() < f.real_min || (!generated && value.get<double>() > f.real_max))
                 return out_of_range(f, value, path);
-            return f.store(object, value.get<double>());
+            return f.store(object, std::min(value.get<double>(), f.real_max));
         case field_kind::boolean:
             if (!value.is_boolean())
                 return wrong_type(f, value, path);
@@ -209,7 +217,8 @@
             // inet_pton stops at an embedded zero byte.
             in_range = text.find('\0') == std::string::npos && is_ip_address(text);
         else
-            in_range = std::cmp_greater_equal(text.size(), f.min) && std::cmp_less_equal(text.size(), f.max);
+            in_range = std::cmp_greater_equal(text.size(), f.min) &&
+                       std::cmp_less_equal(text.size(), f.max) && (!f.accepts || f.accepts(text));
         if (!in_range)
             return out_of_range(f, value, path);
         f.store(object, text);
@@ -228,13 +237,26 @@
         f.store(object, number);
     }
 
+    void read_any_number(const field& f, const json& value, const std::string& path, void* object)
+    {
+        if (!value.is_number())
+            return wrong_type(f, value, path);
+        const double number = value.get<double>();
+        if (number < static_cast<double>(f.min))
+            return out_of_range(f, value, path);
+        if (number >= static_cast<double>(f.max))
+            return f.store(object, f.max);
+        if (f.kind == field_kind::duration_ms)
+            return f.store(object, number);
+        f.store(object, static_cast<std::int64_t>(number));
+    }
+
     void read_list(const field& f, const json& value, const std::string& path, void* object)
     {
         if (!value.is_array())
             return wrong_type(f, value, path);
         if (std::cmp_less(value.size(), f.min) || std::cmp_greater(value.size(), f.max))
-            report(settings_errc::out_of_range, path, std::to_string(value.size()) + " items",
-                   allowed_text(f));
+            note(settings_errc::out_of_range, path, std::to_string(value.size()) + " items", allowed_text(f));
         f.clear_list(object);
         std::size_t n = 0;
         for (const json& item : value) {
@@ -242,7 +264,7 @@
             if (item.is_object())
                 read_object(*f.items, item, item_path, f.member(object));
             else
-                report(settings_errc::wrong_type, item_path, text_of(item), "object");
+                note(settings_errc::wrong_type, item_path, text_of(item), "object");
         }
     }
 
@@ -266,11 +288,12 @@
             path += (path.empty() ? "" : ", ") + key_path;
         }
         if (const std::optional<std::string> allowed = r.broken(object))
-            report(settings_errc::contradiction, path, found, *allowed);
+            note(settings_errc::contradiction, path, found, *allowed);
     }
 
     const std::string& file_;
     settings_errors& errors_;
+    bool fatal_ = false; ///< Whether the program can't run without the value that is being read.
 };
 
 /// Finds keys that occur twice in one object, which the JSON library would silently merge.
@@ -413,7 +436,7 @@
         text = std::move(buf).str();
         return std::nullopt;
     }
-    return settings_error{settings_errc::unreadable, file, "", "no readable file", "a JSON file"};
+    return settings_error{settings_errc::unreadable, file, "", "no readable file", "a JSON file", true};
 }
 
 std::string markdown(const field_table& table, const void* defaults)
--- a/src/libs/settings/settings_fields.h
+++ b/src/libs/settings/settings_fields.h
@@ -25,11 +25,14 @@
     std::string key;
     std::string description;
     bool required = false;
-    std::int64_t min = 0; ///< Integer, milliseconds, string length in bytes or number of list items.
+    bool expected = false; ///< Its absence is an error, but there is a default.
+    std::int64_t min = 0;  ///< Integer, milliseconds, string length in bytes or number of list items.
     std::int64_t max = 0;
     double real_min = 0;
     double real_max = 0;
-    std::vector<std::string> names; ///< Allowed names of an enumeration.
+    std::vector<std::string> names;                       ///< Allowed names of an enumeration.
+    std::function<bool(const std::string& text)> accepts; ///< Further condition on a string; may be null.
+    std::string form;                                     ///< Describes that condition.
     std::function<void(void* object, const field_value& value)> store;
     std::function<field_value(const void* object)> load;
     std::shared_ptr<const field_table> items;     ///< Of a list's items or a group.
@@ -48,14 +51,18 @@
     /// Throws std::logic_error for a key that is declared twice.
     void add(field f);
     void add(rule r) { rules_.push_back(std::move(r)); }
+    void accept_generated() { generated_ = true; }
+    [[nodiscard]] bool generated() const { return generated_; }
     [[nodiscard]] const std::vector<field>& fields() const { return fields_; }
     [[nodiscard]] const std::vector<rule>& rules() const { return rules_; }
 
 private:
     std::vector<field> fields_;
     std::vector<rule> rules_;
+    bool generated_ = false;
 };
 
+/// Stores what can be used, and returns an error for everything else.
 [[nodiscard]] settings_errors read_text(const field_table& table, const std::string& file,
                                         const std::string& text, void* object);
 /// Reads the file's text; reports `unreadable`.
--- a/src/libs/settings/settings_schema.h
+++ b/src/libs/settings/settings_schema.h
@@ -6,6 +6,7 @@
 
 #include <tl/expected.hpp>
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <limits>
@@ -18,8 +19,25 @@
 
 namespace mjm {
 
-/// Whether a key may be left out; the member's initial value is then used.
-enum class presence { optional, required };
+/// Whether a key may be left out. The member's initial value is then used, unless the key is required.
+enum class presence {
+    optional,
+    expected, ///< Its absence is reported.
+    required,
+};
+
+/// The usable part of a settings text. All other members keep their initial values.
+template <typename S>
+struct settings_reading {
+    S settings;
+    settings_errors errors;
+
+    /// Whether the program can't run with these settings.
+    [[nodiscard]] bool is_fatal() const
+    {
+        return std::any_of(errors.begin(), errors.end(), [](const settings_error& e) { return e.fatal; });
+    }
+};
 
 /// Declares the JSON keys of a settings struct. Defaults are the member initialisers of `S`.
 ///
@@ -82,7 +100,8 @@
         return *this;
     }
 
-    /// The JSON value is a whole number of milliseconds; the key should end in `_ms`.
+    /// The JSON value is a whole number of milliseconds, or any number in a generated text; the key should
+    /// end in `_ms`.
     settings_schema& milliseconds(std::string key, duration S::*member, std::chrono::milliseconds min,
                                   std::chrono::milliseconds max, std::string description,
                                   presence needed = presence::optional)
@@ -92,7 +111,11 @@
         f.min = min.count();
         f.max = max.count();
         f.store = [member](void* object, const value& v) {
-            static_cast<S*>(object)->*member = std::chrono::milliseconds{std::get<std::int64_t>(v)};
+            static_cast<S*>(object)->*member =
+                std::holds_alternative<double>(v)
+                    ? std::chrono::duration_cast<duration>(
+                          std::chrono::duration<double, std::milli>{std::get<double>(v)})
+                    : duration{std::chrono::milliseconds{std::get<std::int64_t>(v)}};
         };
         f.load = [member](const void* object) {
             const duration d = static_cast<const S*>(object)->*member;
@@ -122,6 +145,19 @@
         return *this;
     }
 
+    /// A string for which `accepts` returns true; `form` describes such a string.
+    template <typename Text>
+    settings_schema& matching(std::string key, Text S::*member, std::string form,
+                              std::function<bool(const std::string&)> accepts, std::string description,
+                              presence needed = presence::optional)
+    {
+        field f = base(settings_detail::field_kind::string, std::move(key), std::move(description), needed);
+        f.max = std::numeric_limits<std::int64_t>::max();
+        f.accepts = std::move(accepts);
+        f.form = std::move(form);
+        return add_text(std::move(f), member);
+    }
+
     /// A numeric IPv4 or IPv6 address; host names are rejected.
     template <typename Text>
     settings_schema& ip_address(std::string key, Text S::*member, std::string description,
@@ -183,23 +219,40 @@
         return *this;
     }
 
+    /// Accepts the text of a generator that knows neither types nor limits of the keys: null stands for a
+    /// missing value, numbers of any kind for whole ones, and numbers above the largest allowed one for that.
+    settings_schema& accept_generated()
+    {
+        table_->accept_generated();
+        return *this;
+    }
+
+    /// Reads what can be used of a JSON text; `file` only names the source in errors.
+    [[nodiscard]] settings_reading<S> read(const std::string& text, const std::string& file) const
+    {
+        settings_reading<S> out;
+        out.errors = settings_detail::read_text(*table_, file, text, &out.settings);
+        return out;
+    }
+
+    [[nodiscard]] settings_reading<S> read_file(const std::string& file) const
+    {
+        std::string text;
+        if (std::optional<settings_error> error = settings_detail::read_file(file, text))
+            return {S{}, {std::move(*error)}};
+        return read(text, file);
+    }
+
     /// Reads settings from JSON text; `file` only names the source in errors. Returns all errors found.
     [[nodiscard]] tl::expected<S, settings_errors> parse(const std::string& text,
                                                          const std::string& file) const
     {
-        S object{};
-        settings_errors errors = settings_detail::read_text(*table_, file, text, &object);
-        if (!errors.empty())
-            return tl::make_unexpected(std::move(errors));
-        return object;
+        return whole(read(text, file));
     }
 
     [[nodiscard]] tl::expected<S, settings_errors> load(const std::string& file) const
     {
-        std::string text;
-        if (std::optional<settings_error> error = settings_detail::read_file(file, text))
-            return tl::make_unexpected(settings_errors{std::move(*error)});
-        return parse(text, file);
+        return whole(read_file(file));
     }
 
     /// Table with one row per key: key, type, default, allowed values and description.
@@ -215,6 +268,13 @@
     using field = settings_detail::field;
     using value = settings_detail::field_value;
 
+    static tl::expected<S, settings_errors> whole(settings_reading<S> reading)
+    {
+        if (!reading.errors.empty())
+            return tl::make_unexpected(std::move(reading.errors));
+        return std::move(reading.settings);
+    }
+
     static field base(settings_detail::field_kind kind, std::string key, std::string description,
                       presence needed)
     {
@@ -223,6 +283,7 @@
         f.key = std::move(key);
         f.description = std::move(description);
         f.required = needed == presence::required;
+        f.expected = needed == presence::expected;
         return f;
     }
 
@@ -233,6 +294,12 @@
         field f = base(kind, std::move(key), std::move(description), needed);
         f.min = static_cast<std::int64_t>(min);
         f.max = static_cast<std::int64_t>(max);
+        return add_text(std::move(f), member);
+    }
+
+    template <typename Text>
+    settings_schema& add_text(field f, Text S::*member)
+    {
         f.store = [member](void* object, const value& v) {
             static_cast<S*>(object)->*member = Text{std::get<std::string>(v)};
         };
--- a/src/libs/settings/tests/tst_settings.cpp
+++ b/src/libs/settings/tests/tst_settings.cpp
@@ -168,3 +168,69 @@
     schema.integer("low", &limit_settings::low, 0, 1, "");
     CHECK_THROWS_AS(schema.integer("low", &limit_settings::high, 0, 1, ""), std::logic_error);
 }
+
+namespace {
+
+settings_schema<test_settings> make_generated_schema()
+{
+    settings_schema<test_settings> schema;
+    schema.string("zone", &test_settings::zone, "Zone.", 1, 8, presence::expected)
+        .integer("port", &test_settings::port, 1, 100'000, "Port.")
+        .real("weight", &test_settings::weight, 0.1, 1, "Weight.")
+        .boolean("open", &test_settings::open, "Open.", presence::required)
+        .milliseconds("ttl_ms", &test_settings::ttl, std::chrono::milliseconds{10}, std::chrono::seconds{60},
+                      "Lease time.")
+        .accept_generated();
+    return schema;
+}
+
+settings_reading<test_settings> read_generated(const std::string& text)
+{
+    return make_generated_schema().read(text, "f.json");
+}
+
+} // namespace
+
+// Guards against a program that doesn't start because of the form of a number.
+TEST_CASE("a generated text may have fractions, values above the range and null for missing ones")
+{
+    const settings_reading<test_settings> read =
+        read_generated(R"({"zone": "a", "port": 80.9, "weight": 7, "open": true, "ttl_ms": 250.5})");
+    CHECK(read.errors.empty());
+    CHECK(read.settings.port == 80);
+    CHECK(read.settings.weight == 1.0);
+    CHECK(read.settings.ttl == std::chrono::microseconds{250'500});
+    const settings_reading<test_settings> large = read_generated(
+        R"({"zone": "a", "port": 1e300, "weight": null, "open": true, "ttl_ms": 18446744073709551615})");
+    CHECK(large.errors.empty());
+    CHECK(large.settings.port == 65535);
+    CHECK(large.settings.weight == 0.5);
+    CHECK(large.settings.ttl == std::chrono::seconds{60});
+}
+
+TEST_CASE("a value that can't be used is reported, and its default holds")
+{
+    const settings_reading<test_settings> read =
+        read_generated(R"({"port": 0, "weight": 0, "open": true, "ttl_ms": false, "later": {"a": 1}})");
+    REQUIRE(read.errors.size() == 5);
+    CHECK_FALSE(read.is_fatal());
+    CHECK(read.errors[0].code == settings_errc::unknown_key);
+    CHECK(read.errors[1].path == "zone");
+    CHECK(read.errors[1].code == settings_errc::missing_key);
+    CHECK(read.errors[2].path == "port");
+    CHECK(read.errors[3].path == "weight");
+    CHECK(read.errors[4].path == "ttl_ms");
+    CHECK(read.settings.port == 8080);
+    CHECK(read.settings.weight == 0.5);
+    CHECK(read.settings.ttl == std::chrono::seconds{6});
+    CHECK_FALSE(make_generated_schema().parse(R"({"zone": "a", "port": 0, "open": true})", "f.json"));
+}
+
+TEST_CASE("a program can't run without a required value, nor with a text that is no JSON object")
+{
+    CHECK(read_generated(R"({"zone": "a", "open": null})").is_fatal());
+    CHECK(read_generated(R"({"zone": "a", "open": 1})").is_fatal());
+    CHECK(read_generated("{").is_fatal());
+    CHECK(read_generated("[]").is_fatal());
+    CHECK(make_generated_schema().read_file("/nonexistent").is_fatal());
+}
