Check the end of a term by a failed decision before the next election

Cause: the test looked 50 ms later, when the same host may lead again.

Change: it looks right after the next tick.

Result: the case failed in a run of all tests (same host, next term) and passes.

--- a/src/plugins/jobs/tests/tst_job_node.cpp
+++ b/src/plugins/jobs/tests/tst_job_node.cpp
@@ -82,7 +82,7 @@
     entry_host* first = f.leader();
     REQUIRE(first != nullptr);
     first->node->recover("a decision has failed");
-    f.run_for(50ms);
+    first->node->tick();
     CHECK(first->node->leader() == nullptr);
     f.run_for(15s);
     CHECK(f.leader() != nullptr);
