Stop a thread whose work keeps coming

Cause: a thread that was to stop ran its queues until they were empty. Work that posts more work, such as calls whose answers cause further calls, kept the process until the platform killed it. Found by reading.

Change: what is queued runs for 300 ms at most.

Result: without the limit the new case of tst_kernel doesn't end (10 s).

--- a/src/libs/kernel/duty_thread.cpp
+++ b/src/libs/kernel/duty_thread.cpp
@@ -11,6 +11,12 @@
 
 namespace mjm {
 
+namespace {
+
+constexpr std::chrono::milliseconds longest_stop{300};
+
+} // namespace
+
 duty_thread::duty_thread(duty_thread_settings settings, std::function<void()> tick)
     : settings_{std::move(settings)}, tick_{std::move(tick)}, executor_{settings_.request_capacity}
 {
@@ -69,7 +75,10 @@
         // Rounded up, since a remainder below 1 us would otherwise become a loop without any wait.
         executor_.run_for(std::chrono::ceil<duration>(next_tick - now));
     }
-    executor_.run_pending();
+    // Work that keeps coming, such as answers to calls of other work, must not keep the process from ending.
+    const steady::time_point until = steady::now() + longest_stop;
+    while (executor_.run_for(duration::zero()) > 0 && steady::now() < until)
+        continue;
 }
 
 } // namespace mjm
--- a/src/libs/kernel/duty_thread.h
+++ b/src/libs/kernel/duty_thread.h
@@ -31,7 +31,8 @@
 
     /// Starts the thread; work posted before is kept and runs then. May be called once.
     void start();
-    /// Refuses new requests, runs what is queued, then joins. Must not be called from the thread itself.
+    /// Refuses new requests, runs what is queued for 300 ms at most, then joins. Must not be called from the
+    /// thread itself.
     void stop();
 
     [[nodiscard]] ring_executor& executor() { return executor_; }
--- a/src/libs/kernel/tests/tst_duty_thread.cpp
+++ b/src/libs/kernel/tests/tst_duty_thread.cpp
@@ -191,3 +191,14 @@
     CHECK(std::count(failures.begin(), failures.end(), "reply") == 1);
     CHECK(std::count(failures.begin(), failures.end(), "tick") == 1);
 }
+
+// Guards against a process that isn't stopped within its grace time.
+TEST_CASE("work that keeps coming doesn't keep a thread from stopping")
+{
+    duty_thread thread{settings(1, std::chrono::hours{1}), [] {}};
+    std::function<void()> again = [&] { thread.executor().post(again); };
+    thread.executor().post(again);
+    thread.start();
+    thread.stop(); // Doesn't return otherwise.
+    CHECK(thread.executor().waiting_replies() == 1);
+}
