--- a/src/libs/settings/settings_fields.cpp
+++ b/src/libs/settings/settings_fields.cpp
@@ -147,10 +147,11 @@
             apply_rule(r, value, prefix, object);
     }
 
-    /// Adds an error that concerns the whole text.
-    void report(settings_errc code, const std::string& path, std::string found, std::string allowed)
+    /// Adds an error that is found outside of `read_object`.
+    void report(settings_errc code, const std::string& path, std::string found, std::string allowed,
+                bool fatal = true)
     {
-        errors_.push_back({code, file_, path, std::move(found), std::move(allowed), true});
+        errors_.push_back({code, file_, path, std::move(found), std::move(allowed), fatal});
     }
 
 private:
@@ -419,7 +420,7 @@
         return errors;
     }
     for (const std::string& path : duplicates)
-        r.report(settings_errc::duplicate_key, path, "the key twice", "each key once");
+        r.report(settings_errc::duplicate_key, path, "the key twice", "each key once", false);
     if (document.is_object())
         r.read_object(table, document, "", object);
     else
--- a/src/libs/settings/tests/tst_settings.cpp
+++ b/src/libs/settings/tests/tst_settings.cpp
@@ -220,6 +220,7 @@
     CHECK(read.errors[2].path == "port");
     CHECK(read.errors[3].path == "weight");
     CHECK(read.errors[4].path == "ttl_ms");
+    CHECK_FALSE(read_generated(R"({"zone": "a", "open": true, "open": false})").is_fatal());
     CHECK(read.settings.port == 8080);
     CHECK(read.settings.weight == 0.5);
     CHECK(read.settings.ttl == std::chrono::seconds{6});
