Wait for a settings file that is being written

Cause: a process that started while the platform wrote its settings file found no file, or half of one, and ended with exit code 2.

Change: a missing or incomplete file is read again for 2 s.

--- a/src/libs/kernel/program_options.h
+++ b/src/libs/kernel/program_options.h
@@ -2,10 +2,12 @@
 
 #include "settings/settings_schema.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <type_traits>
 #include <vector>
 
@@ -54,6 +56,8 @@
 };
 
 namespace program_detail {
+inline constexpr std::chrono::milliseconds reread_interval{50};
+inline constexpr int max_rereads = 40;
 void print(const std::string& text);
 void print_errors(const std::string& program, const settings_errors& errors);
 /// Runs `body`; an exception becomes a message and `exit_runtime_failure`.
@@ -62,7 +66,8 @@
 
 /// Parses the command line, reads the settings (defaults without `--settings`) and runs `body`, which
 /// returns the exit code. With `--check-settings` only the settings are read. A `body` that also takes the
-/// errors runs with the settings that can be used, unless one without a default is missing.
+/// errors runs with the settings that can be used, unless one without a default is missing. A file that is
+/// missing or incomplete may be just being written, and is read again for 2 s.
 template <typename S, typename Body>
 [[nodiscard]] int run_program(program_options& options, const settings_schema<S>& schema, int argc,
                               const char* const* argv, Body body)
@@ -75,8 +80,15 @@
     }
     const std::string& file = options.settings_file();
     constexpr bool accepts_errors = std::is_invocable_v<Body, const S&, const settings_errors&>;
-    const settings_reading<S> reading =
-        file.empty() ? schema.read("{}", "(defaults)") : schema.read_file(file);
+    settings_reading<S> reading = file.empty() ? schema.read("{}", "(defaults)") : schema.read_file(file);
+    if constexpr (accepts_errors) {
+        for (int i = 0; i < program_detail::max_rereads && reading.is_incomplete(); ++i) {
+            if (options.check_settings())
+                break;
+            std::this_thread::sleep_for(program_detail::reread_interval);
+            reading = schema.read_file(file);
+        }
+    }
     const bool usable = accepts_errors && !options.check_settings() && !reading.is_fatal();
     if (!reading.errors.empty() && !usable) {
         program_detail::print_errors(argv[0], reading.errors);
--- a/src/libs/settings/settings_schema.h
+++ b/src/libs/settings/settings_schema.h
@@ -37,6 +37,13 @@
     {
         return std::any_of(errors.begin(), errors.end(), [](const settings_error& e) { return e.fatal; });
     }
+    /// Whether the file was missing or incomplete, as while it is being replaced.
+    [[nodiscard]] bool is_incomplete() const
+    {
+        return std::any_of(errors.begin(), errors.end(), [](const settings_error& e) {
+            return e.code == settings_errc::unreadable || e.code == settings_errc::not_json;
+        });
+    }
 };
 
 /// Declares the JSON keys of a settings struct. Defaults are the member initialisers of `S`.
