--- a/review/standin-3/deployment.cpp
+++ b/review/standin-3/deployment.cpp
@@ -398,6 +398,10 @@
         for (machine& m : machines_) {
             if (m.state != "up" && steady::now() >= m.up_at)
                 join(m);
+            if (m.state == "down" && m.current && steady::now() >= m.unlisted_at) {
+                store_.remove("servers/" + m.current->id());
+                former_.push_back(std::move(m.current));
+            }
         }
         if (steady::now() >= next_beat) {
             next_beat = steady::now() + heartbeat;
@@ -435,7 +439,7 @@
 void deployment::beat()
 {
     for (machine& m : machines_) {
-        if (m.current)
+        if (m.current && m.state == "up")
             store_.put("servers/" + m.current->id(),
                        m.current->registration(m.pool, m.name, m.link->port()).dump());
     }
@@ -455,6 +459,30 @@
     store_.put("servers/" + m.current->id(), m.current->registration(m.pool, m.name, m.link->port()).dump());
 }
 
+void deployment::lose_machine_of(const std::string& worker)
+{
+    const std::lock_guard lock{mutex_};
+    for (machine& m : machines_) {
+        if (!m.current || m.current->id() != worker)
+            continue;
+        record_.add(m.name + " with " + worker + " is lost for good");
+        m.current->kill();
+        m.state = "down";
+        m.up_at = steady::time_point::max();
+        m.unlisted_at = steady::now() + 3 * heartbeat;
+    }
+}
+
+std::string deployment::machine_of(const std::string& worker)
+{
+    const std::lock_guard lock{mutex_};
+    for (const machine& m : machines_) {
+        if (m.current && m.current->id() == worker)
+            return m.name;
+    }
+    return {};
+}
+
 void deployment::silence_workers()
 {
     const std::lock_guard lock{mutex_};
--- a/review/standin-3/deployment.h
+++ b/review/standin-3/deployment.h
@@ -96,6 +96,10 @@
     [[nodiscard]] store& data() { return store_; }
     [[nodiscard]] cuttable_link& store_link(std::size_t n) { return *hosts_.at(n).to_store; }
     [[nodiscard]] cuttable_link& cloud_link(std::size_t n) { return *hosts_.at(n).to_cloud; }
+    /// The machine of this worker is lost for good.
+    void lose_machine_of(const std::string& worker);
+    /// Returns the machine of a worker, or an empty text.
+    [[nodiscard]] std::string machine_of(const std::string& worker);
     /// The links to the workers, which all hosts share.
     void silence_workers();
     [[nodiscard]] std::vector<task_event> events();
@@ -134,6 +138,7 @@
         std::string state = "up";
         std::string pool = "pool-a";
         steady::time_point up_at;
+        steady::time_point unlisted_at; ///< When the entry of a lost worker lapses; the epoch if it is up.
         std::set<std::uint64_t> waves;
     };
 
--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -116,7 +116,7 @@
     constexpr double removed_per_s = 1.8;
     constexpr double kept_s = 180.0;
     const char* hours_text = std::getenv("HOURS");
-    const double hours = hours_text == nullptr ? 6.0 : std::atof(hours_text);
+    const double hours = hours_text == nullptr ? 8.0 : std::atof(hours_text);
     const auto jobs = static_cast<std::uint64_t>(trouble ? hours * 3600.0 * (jobs_per_s - removed_per_s)
                                                          : kept_s * jobs_per_s);
     deployment d{{}, log};
@@ -397,6 +397,67 @@
     return running < 4 ? not_run : lapsed > 1 ? broken : held;
 }
 
+/// The only machine on which a task of a lost worker may run is due for upkeep, which has to wait.
+int cordoned_machine(record& log, bool trouble)
+{
+    constexpr std::size_t machines = 8;
+    constexpr double lost_bound_s = 9.0; // 6 s after its last run and 3 s of rest.
+    deployment d{{3, machines, 260}, log};
+    start_all(d);
+    if (!d.wait_ready(15.0))
+        return not_run;
+    const auto lasting = [](std::size_t tasks) {
+        const json step{{"count", tasks},       {"cpu", 3000},   {"mem-mb", 6000},     {"estimate-ms", 500},
+                        {"long-running", true}, {"may-miss", 1}, {"max-per-server", 1}};
+        return json{{"spec", "600000"}, {"steps", json::array({step})}}.dump();
+    };
+    const std::string wide = job_name(0xc0);
+    const std::string narrow = job_name(0xa0);
+    if (d.client_call(0, "POST", wide, lasting(machines)) != 200 ||
+        d.client_call(0, "POST", narrow, lasting(machines - 1)) != 200)
+        return not_run;
+    pause(6.0);
+    std::set<std::string> with_narrow;
+    std::set<std::string> all;
+    std::string lost_worker;
+    std::string lost_task;
+    for (const task_event& e : d.events()) {
+        all.insert(e.worker);
+        if (!e.task.starts_with(narrow))
+            continue;
+        with_narrow.insert(e.worker);
+        lost_worker = e.worker;
+        lost_task = e.task;
+    }
+    if (all.size() != machines || with_narrow.size() != machines - 1)
+        return not_run;
+    std::string free_worker;
+    for (const std::string& worker : all) {
+        if (!with_narrow.contains(worker))
+            free_worker = worker;
+    }
+    if (trouble)
+        d.lose_machine_of(lost_worker);
+    const double lost_at = log.seconds();
+    pause(1.5);
+    const std::string due = d.machine_of(free_worker);
+    d.data().put("op/wave/1",
+                 json{{"wave", 1}, {"machines", json::array({due})}, {"duration-s", 26}, {"cap", 1}}.dump());
+    log.add("wave 1 for " + due + " with " + free_worker + ", the only one that may run " + lost_task);
+    pause(45.0);
+    double started_at = -1.0;
+    const std::vector<task_event> events = d.events();
+    std::size_t starts = 0;
+    for (const task_event& e : events)
+        starts += !e.lapsed && e.task == lost_task ? 1 : 0;
+    if (starts > 1)
+        started_at = 0.0;
+    log.add(lost_task + " has " + std::to_string(starts) + " starts, " +
+            std::to_string(log.seconds() - lost_at) +
+            " s after the loss; orders for machines: " + std::to_string(d.orders().size()));
+    return trouble && started_at < 0.0 && log.seconds() - lost_at > lost_bound_s ? broken : held;
+}
+
 int run_case(const std::string& name, const std::string& file, bool trouble)
 {
     record log{file};
@@ -411,6 +472,8 @@
         result = silent_connections(log, trouble);
     else if (name == "silent_workers")
         result = silent_workers(log, trouble);
+    else if (name == "cordoned_machine")
+        result = cordoned_machine(log, trouble);
     else if (name == "growth")
         result = growth(log);
     log.add(result == broken ? "broken" : result == held ? "held" : "could not run");
