Let a host work while its maintenance waits for tasks elsewhere

Cause: a host that was chosen for maintenance took no work until the order was sent, and the order waited until the steps on it could miss their tasks. These may wait for a place in turn: on this host alone, or on another host that waits likewise. Nothing ended either wait.

Change: a host is kept from work only while its order waits for what runs on it. Maintenance is chosen once its tasks can be missed, and withdrawn in the planning round in which they no longer can (maintenance_withdrawn); a host with too many tasks of a step works on while these move, each only if another host takes it. A planned order keeps a host from tasks that end; permanent tasks, which don't delay the order, are placed there if they have no other place. Maintenance that the platform refuses for 2.5 s is dropped for 3 s. A planned run isn't started once an order for its host has been sent.

Result: four of the new cases in tst_host_orders fail with the former choice, cordon and retries; the fifth guards the start after an order.

--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -391,17 +391,16 @@
 
 void host_manager::update_cordons()
 {
-    std::set<std::string> cordons;
+    host_cordons cordons;
     for (const auto& [id, pending] : pending_orders_)
-        cordons.insert(id);
-    std::set<std::string> maintained_soon;
+        (pending.never_sent() ? cordons.planned : cordons.ordered).insert(id);
     for (const auto& [name, w] : waves_) {
         for (const std::string& host : w.wave.hosts) {
             if (!w.record.done.contains(host))
-                maintained_soon.insert(host);
+                cordons.maintained_soon.insert(host);
         }
     }
-    scheduler_.set_cordons(cordons, maintained_soon);
+    scheduler_.set_cordons(std::move(cordons));
 }
 
 void host_manager::store_orders()
@@ -442,14 +441,14 @@
         if (pending.order.target == target_of(id) && can_take_down(host->second, pending))
             send_order(id, pending);
     }
-    // A move that could not be sent in time is dropped, so that the host can be planned anew.
+    // The host works on while an order can't be sent, and is planned anew.
     std::erase_if(pending_orders_, [&](const auto& entry) {
         const pending_order& pending = entry.second;
-        const bool dropped = pending.order.kind == host_order_kind::move &&
-                             pending.outcome == order_outcome::not_done &&
-                             now - pending.chosen_at > settings_.drain_timeout;
-        if (dropped && pending.sent_at != timestamp{})
-            no_move_until_[entry.first] = now + settings_.move_pause;
+        const bool move = pending.order.kind == host_order_kind::move;
+        const timestamp waits_since = move ? pending.chosen_at : pending.refused_since.value_or(now);
+        const bool dropped = pending.never_sent() && now - waits_since > settings_.drain_timeout;
+        if (dropped && pending.refused_since)
+            (move ? no_move_until_ : no_maintenance_until_)[entry.first] = now + settings_.move_pause;
         return dropped;
     });
 }
@@ -517,6 +516,8 @@
     default:
         scheduler_.set_leaving(pending.order.target, false);
         pending.outcome = order_outcome::not_done;
+        if (!pending.refused_since)
+            pending.refused_since = time_.now();
         pending.not_before = time_.now() + settings_.retry;
         return;
     }
--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -30,7 +30,8 @@
     /// Expected time to maintain one host, including the time until the work on it has ended.
     duration maintenance_time{std::chrono::milliseconds{5000}};
     /// Runs that save their progress and are still on a host this long after it was chosen are stopped. A
-    /// move that could not be sent within this time is dropped.
+    /// move that could not be sent within this time, or maintenance that the platform has refused for this
+    /// long, is dropped.
     duration drain_timeout{std::chrono::milliseconds{2500}};
     /// Runs that are not permanent delay the maintenance of a chosen host for at most this long.
     duration max_drain_time{std::chrono::milliseconds{6000}};
@@ -48,7 +49,8 @@
     /// Hosts whose zone is no longer evacuated count as idle one after the other at this interval, so that
     /// those that are not needed don't leave their pools at the same time.
     duration return_interval{std::chrono::milliseconds{300}};
-    /// Time for which no move is chosen for a host after one that had no effect, so that the host can work.
+    /// Time for which no order of the same kind is chosen for a host after one that had no effect, so that
+    /// the host can work.
     duration move_pause{std::chrono::milliseconds{3000}};
     /// The same after the platform has refused a move for good.
     duration refused_move_pause{std::chrono::seconds{10}};
@@ -96,10 +98,17 @@
         host_order order;
         timestamp chosen_at;
         timestamp sent_at;
-        timestamp not_before; ///< The order is not sent before this time.
+        timestamp not_before;                   ///< The order is not sent before this time.
+        std::optional<timestamp> refused_since; ///< When the first of the attempts to send it failed.
         order_outcome outcome = order_outcome::not_done;
         bool in_flight = false; ///< The order's call awaits its answer.
         bool restored = false;  ///< The previous leader stored the order and may have sent it.
+
+        /// Whether the platform can't carry the order out.
+        [[nodiscard]] bool never_sent() const
+        {
+            return outcome == order_outcome::not_done && !in_flight && !restored;
+        }
     };
     struct wave_state {
         maintenance_wave wave;
@@ -148,6 +157,9 @@
     // host_waves.cpp
     void choose_maintenance();
     void choose_hosts(wave_state& w);
+    /// Drops the maintenance orders that have not been sent and wait for anything but the end of what runs on
+    /// their hosts, so that the hosts take work again.
+    void withdraw_maintenance();
     void report(wave_state& w);
     void mark_done(const pending_order& pending, const std::string& host);
     /// Returns the number of hosts that are down, or about to be, for a wave.
@@ -155,6 +167,9 @@
     /// Whether an order may end the work on the host now. Stops or moves runs that prevent it.
     [[nodiscard]] bool can_take_down(const host_info& host, const pending_order& pending);
     [[nodiscard]] bool can_take_down(const target_id& target, const pending_order& pending);
+    /// Whether the steps with tasks on the host can miss these.
+    [[nodiscard]] bool can_lose(const host_info& host) const;
+    [[nodiscard]] bool can_lose(const target_id& target) const;
 
     const host_manager_settings settings_;
     job_scheduler& scheduler_;
@@ -171,7 +186,8 @@
     std::map<std::string, timestamp> last_listed_;
     std::map<std::string, timestamp> idle_since_;
     std::set<std::string> evacuated_hosts_;
-    std::map<std::string, timestamp> no_move_until_; ///< Hosts whose latest moves had no effect.
+    std::map<std::string, timestamp> no_move_until_;        ///< Hosts whose latest moves had no effect.
+    std::map<std::string, timestamp> no_maintenance_until_; ///< Hosts whose maintenance was refused.
     std::map<std::string, pending_order> pending_orders_;
     std::map<std::string, wave_state> waves_;
     std::map<std::string, wave_record> restored_waves_;
--- a/src/plugins/jobs/host_waves.cpp
+++ b/src/plugins/jobs/host_waves.cpp
@@ -7,12 +7,33 @@
 
 void host_manager::choose_maintenance()
 {
+    std::erase_if(no_maintenance_until_,
+                  [now = time_.now()](const auto& entry) { return entry.second <= now; });
+    withdraw_maintenance();
     for (auto& [name, w] : waves_) {
         if (!w.completed)
             choose_hosts(w);
     }
 }
 
+void host_manager::withdraw_maintenance()
+{
+    // What else is unavailable can't be told from an old view, with which nothing is started either.
+    if (!scheduler_.may_start(time_.now()))
+        return;
+    std::erase_if(pending_orders_, [this](const auto& entry) {
+        const auto& [id, pending] = entry;
+        const auto host = hosts_.find(id);
+        if (pending.order.kind != host_order_kind::maintain || !pending.never_sent() ||
+            host == hosts_.end() || can_lose(host->second))
+            return false;
+        log_.info(
+            "maintenance_withdrawn",
+            {{"host", id}, {"wave", pending.order.wave}, {"reason", "tasks of its steps are unavailable"}});
+        return true;
+    });
+}
+
 std::size_t host_manager::hosts_down(const std::string& wave) const
 {
     return static_cast<std::size_t>(
@@ -41,7 +62,8 @@
         }
         ++left;
         if (host == hosts_.end() || pending_orders_.contains(id) || held_hosts_.contains(id) ||
-            host->second.state != host_state::up || awaits_target(host->second))
+            no_maintenance_until_.contains(id) || host->second.state != host_state::up ||
+            awaits_target(host->second))
             continue;
         const auto t = scheduler_.targets().find(target_of(id));
         candidates.push_back({id, t == scheduler_.targets().end() ? 0.0 : t->second.fill_level()});
@@ -60,12 +82,19 @@
     const double rounds = std::max(
         1.0, std::floor(time_left / std::chrono::duration<double>(settings_.maintenance_time).count()));
     const std::size_t needed = static_cast<std::size_t>(std::ceil(static_cast<double>(left) / rounds));
+    std::size_t prepared = 0;
     for (const candidate& c : candidates) {
         const std::size_t down = hosts_down(w.wave.name);
         if (down >= w.wave.max_down)
             return;
-        if (c.load > 0.0 && down >= needed)
+        if (c.load > 0.0 && down + prepared >= needed)
             return;
+        // A host is kept from work only while its order waits for what runs on it. Until then it works, and
+        // its tasks move to others as these have room.
+        if (!can_lose(hosts_.at(c.id))) {
+            prepared += scheduler_.move_excess_tasks(target_of(c.id), {now, time_.unix_ms()}) ? 1 : 0;
+            continue;
+        }
         pending_order pending;
         pending.order = {host_order_kind::maintain, w.wave.name, service_id{}, target_of(c.id)};
         pending.chosen_at = now;
@@ -106,10 +135,18 @@
         if (now - pending.chosen_at < settings_.max_drain_time)
             return false;
     }
-    if (scheduler_.can_lose(target))
-        return true;
-    scheduler_.move_excess_tasks(target, at);
-    return false;
+    return scheduler_.can_lose(target);
+}
+
+bool host_manager::can_lose(const host_info& host) const
+{
+    const target_id target = target_of(host.id);
+    return can_lose(target) && (host.target == target || can_lose(host.target));
+}
+
+bool host_manager::can_lose(const target_id& target) const
+{
+    return !scheduler_.targets().contains(target) || scheduler_.can_lose(target);
 }
 
 void host_manager::report(wave_state& w)
--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -181,8 +181,8 @@
         t.info.incarnation = known;
     }
     t.listed = true;
-    t.cordoned = cordons_.contains(info.host);
-    t.maintained_soon = maintained_soon_.contains(info.host);
+    t.cordon = cordons_.cordon_of(info.host);
+    t.maintained_soon = cordons_.maintained_soon.contains(info.host);
     t.evacuated = evacuation_.zones.contains(info.zone);
     plan_needed_.insert(info.service);
     return true;
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -28,6 +28,22 @@
 
 namespace mjm {
 
+/// Hosts that take less work because of orders for them.
+struct host_cordons {
+    std::set<std::string> planned; ///< An order that ends the work on them has been chosen.
+    std::set<std::string> ordered; ///< Such an order may be carried out at any time.
+    /// Hosts that will be maintained. They get permanent tasks only if no other host has free capacity.
+    std::set<std::string> maintained_soon;
+
+    [[nodiscard]] host_cordon cordon_of(const std::string& host) const
+    {
+        if (ordered.contains(host))
+            return host_cordon::ordered;
+        return planned.contains(host) ? host_cordon::planned : host_cordon::none;
+    }
+    friend bool operator==(const host_cordons&, const host_cordons&) = default;
+};
+
 /// Decides for the leader which task runs on which target, and updates the jobs from the targets' answers and
 /// reports. It does no I/O: the caller writes progress to the store, sends commands to targets, and passes
 /// the answers in. A start becomes a command only once the store has the run.
@@ -69,9 +85,7 @@
     [[nodiscard]] bool may_start(timestamp now) const { return now <= views_recent_until(); }
     /// Returns the time until which the views are recent enough for starts if they are not renewed.
     [[nodiscard]] timestamp views_recent_until() const;
-    /// Sets the hosts that take no new work, and the hosts that will be maintained soon. The latter get
-    /// permanent tasks only if no other host has free capacity.
-    void set_cordons(const std::set<std::string>& cordoned, const std::set<std::string>& maintained_soon);
+    void set_cordons(host_cordons cordons);
     /// Sets the zones to whose targets nothing more is sent. What runs there goes on.
     void set_evacuated_zones(const std::set<zone_id>& zones, scheduler_time time);
     [[nodiscard]] const evacuation_state& evacuation() const { return evacuation_; }
@@ -92,8 +106,9 @@
     /// Sets whether an order that ends all runs on the target may have been carried out.
     void set_leaving(const target_id& id, bool leaving);
     /// Stops one task of each step that has more tasks on the target than may be unavailable at a time, so
-    /// that it moves to another target. Skips steps that have no unavailable task to spare at present.
-    void move_excess_tasks(const target_id& id, scheduler_time time);
+    /// that it moves to another target. Skips steps that have no unavailable task to spare at present, and
+    /// tasks that have no place elsewhere. Returns whether a task was stopped.
+    bool move_excess_tasks(const target_id& id, scheduler_time time);
     /// Stops runs that can continue on another target from their checkpoint.
     void stop_resumable_runs(const target_id& id, scheduler_time time);
     [[nodiscard]] const std::map<target_id, target_status>& targets() const { return targets_; }
@@ -188,6 +203,11 @@
         std::int64_t ranks_valid_until_ms = 0; ///< When the first rank in `waiting` changes.
         timestamp next_ranking;
     };
+    /// Targets among which planning chooses.
+    struct candidate_targets {
+        std::vector<target_status*> targets;
+        bool permanent_tasks_only = false;
+    };
     class unsatisfiable_needs;
 
     // job_scheduler.cpp
@@ -261,6 +281,8 @@
     [[nodiscard]] bool any_step_on(const target_id& id, bool (*predicate)(const step_spec&)) const;
     /// Whether the task runs at full pace on a reachable target whose runs are not about to be ended.
     [[nodiscard]] bool stays_available(const task& t) const;
+    /// Whether a target other than the one of its run would take the task now.
+    [[nodiscard]] bool has_place_elsewhere(const open_job& open, const task_position& p, timestamp now);
     /// Returns the number of the step's tasks for which `stays_available` is false, not counting those with a
     /// run on `except`.
     [[nodiscard]] std::uint32_t unavailable_tasks(job& j, std::uint32_t step, const target_id& except) const;
@@ -276,11 +298,12 @@
 
     // scheduler_plan.cpp
     void plan_pool(const service_id& service, service_queue& queue, scheduler_time time);
-    void plan_job(open_job& open, const std::vector<target_status*>& pool, unsatisfiable_needs& unsatisfiable,
+    /// Plans what waits in the queue, in the order of its ranks.
+    void plan_waiting_tasks(const service_queue& queue, const candidate_targets& pool, scheduler_time time);
+    void plan_job(open_job& open, const candidate_targets& pool, unsatisfiable_needs& unsatisfiable,
                   scheduler_time time);
     void plan_step(open_job& open, std::uint32_t occurrence, std::uint32_t number,
-                   const std::vector<target_status*>& pool, unsatisfiable_needs& unsatisfiable,
-                   scheduler_time time);
+                   const candidate_targets& pool, unsatisfiable_needs& unsatisfiable, scheduler_time time);
     [[nodiscard]] placement_request placement_of(const open_job& open, const task_position& p) const;
     void plan_all_services();
     void plan_task(open_job& open, const task_position& p, target_status& t, scheduler_time time);
@@ -478,8 +501,7 @@
     std::map<std::string, timestamp> crashed_hosts_; ///< Until when crashes are attributed to the host.
     std::set<task_key> isolated_tasks_;              ///< Tasks whose next run is to be isolated.
     std::map<task_key, kept_target> isolation_targets_;
-    std::set<std::string> cordons_;
-    std::set<std::string> maintained_soon_;
+    host_cordons cordons_;
     evacuation_state evacuation_;
     std::vector<target_command> commands_;
     std::set<service_id> plan_needed_; ///< Services whose jobs, targets or free capacity have changed.
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -28,11 +28,11 @@
            std::find(t.info.labels.begin(), t.info.labels.end(), label) != t.info.labels.end();
 }
 
-/// Whether the target accepts work but for the ends that it must keep.
+/// Whether the target accepts work but for the ends that it must keep, and for a planned order for its host.
 bool is_available(const target_status& t, timestamp now)
 {
-    return t.listed && t.synced && t.reachable && !t.cordoned && !t.evacuated && !t.leaving &&
-           t.info.state == target_state::ready && now >= t.avoid_until && t.capacity_known() &&
+    return t.listed && t.synced && t.reachable && t.cordon != host_cordon::ordered && !t.evacuated &&
+           !t.leaving && t.info.state == target_state::ready && now >= t.avoid_until && t.capacity_known() &&
            !t.has_unknown_need() && !t.lease_wait_stored;
 }
 
@@ -48,8 +48,9 @@
 {
     // A run that ends with its lease tells nothing of the crashes that its task may cause.
     const bool expires = !request.isolated && !request.suspected && accepts_expiring_run(t, now);
-    return (accepts_work(t, now) || expires) && has_label(t, request.step->required_label) &&
-           has_place(t, request) && separated(t, request) &&
+    const bool stays_until_order = request.step->permanent && accepts_permanent_tasks(t, now);
+    return (accepts_work(t, now) || expires || stays_until_order) &&
+           has_label(t, request.step->required_label) && has_place(t, request) && separated(t, request) &&
            (!request.step->backfill || now >= t.next_backfill_start);
 }
 
@@ -87,13 +88,19 @@
 } // namespace
 
 bool accepts_work(const target_status& t, timestamp now)
+{
+    return accepts_permanent_tasks(t, now) && t.cordon == host_cordon::none;
+}
+
+bool accepts_permanent_tasks(const target_status& t, timestamp now)
 {
     return is_available(t, now) && !t.retired();
 }
 
 bool accepts_expiring_run(const target_status& t, timestamp now)
 {
-    return is_available(t, now) && t.may_expire(now) && t.settled() && t.unknown_runs.empty();
+    return is_available(t, now) && t.cordon == host_cordon::none && t.may_expire(now) && t.settled() &&
+           t.unknown_runs.empty();
 }
 
 bool could_run(const target_status& t, const placement_request& request)
--- a/src/plugins/jobs/placement.h
+++ b/src/plugins/jobs/placement.h
@@ -21,6 +21,9 @@
 
 /// Whether the target may be given any work at `now`.
 [[nodiscard]] bool accepts_work(const target_status& t, timestamp now);
+/// Whether the target may be given permanent tasks at `now`. If it accepts no other work, they should have no
+/// other place.
+[[nodiscard]] bool accepts_permanent_tasks(const target_status& t, timestamp now);
 /// Whether the target is retired, and takes one run whose lease expires at once, so that its ends are free.
 [[nodiscard]] bool accepts_expiring_run(const target_status& t, timestamp now);
 
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -13,16 +13,14 @@
 
 } // namespace
 
-void job_scheduler::set_cordons(const std::set<std::string>& cordoned,
-                                const std::set<std::string>& maintained_soon)
+void job_scheduler::set_cordons(host_cordons cordons)
 {
-    if (cordoned == cordons_ && maintained_soon == maintained_soon_)
+    if (cordons == cordons_)
         return;
-    cordons_ = cordoned;
-    maintained_soon_ = maintained_soon;
+    cordons_ = std::move(cordons);
     for (auto& [id, t] : targets_) {
-        t.cordoned = cordons_.contains(t.info.host);
-        t.maintained_soon = maintained_soon_.contains(t.info.host);
+        t.cordon = cordons_.cordon_of(t.info.host);
+        t.maintained_soon = cordons_.maintained_soon.contains(t.info.host);
     }
     plan_all_services();
 }
@@ -187,11 +185,23 @@
         t->ordered_down_at = {};
 }
 
-void job_scheduler::move_excess_tasks(const target_id& id, scheduler_time time)
+bool job_scheduler::has_place_elsewhere(const open_job& open, const task_position& p, timestamp now)
+{
+    const target_id& here = open.state->at(p).run->target;
+    std::vector<target_status*> others;
+    for (const auto& [id, t] : targets_by_service_[open.service]) {
+        if (id != here && accepts_work(*t, now))
+            others.push_back(t);
+    }
+    return choose_target(placement_of(open, p), others, now) != nullptr;
+}
+
+bool job_scheduler::move_excess_tasks(const target_id& id, scheduler_time time)
 {
     target_status* t = find_target(id);
-    if (t == nullptr)
-        return;
+    if (t == nullptr || !leases_.may_grant(time.now))
+        return false;
+    bool moved = false;
     std::map<std::pair<job_id, std::uint32_t>, std::vector<task_position>> here;
     for (const task_key& key : t->runs) {
         const auto it = jobs_.find(key.job);
@@ -203,11 +213,15 @@
         const std::uint32_t allowed = open.state->step(where.second).max_unavailable;
         if (positions.size() <= allowed)
             continue;
-        const task& first = open.state->at(positions.front());
-        if (unavailable_tasks(*open.state, where.second, {}) < allowed && first.run &&
-            first.run->phase == run_phase::running)
-            stop_run(open, positions.front(), "host will be maintained", time.now);
+        task& first = open.state->at(positions.front());
+        if (unavailable_tasks(*open.state, where.second, {}) >= allowed || !first.run ||
+            first.run->phase != run_phase::running || !has_place_elsewhere(open, positions.front(), time.now))
+            continue;
+        first.avoided_target = id;
+        stop_run(open, positions.front(), "host will be maintained", time.now);
+        moved = true;
     }
+    return moved;
 }
 
 bool job_scheduler::can_lose(const target_id& id) const
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -90,22 +90,38 @@
 {
     std::vector<target_status*> pool;
     std::vector<target_status*> retired;
+    std::vector<target_status*> cordoned;
     for (const auto& [id, t] : targets_by_service_[service]) {
         if (accepts_work(*t, time.now))
             pool.push_back(t);
         else if (accepts_expiring_run(*t, time.now))
             retired.push_back(t);
+        else if (accepts_permanent_tasks(*t, time.now))
+            cordoned.push_back(t);
     }
-    if (pool.empty() && retired.empty())
+    if (pool.empty() && retired.empty() && cordoned.empty())
         return;
     plan_isolated_tasks(service, pool, time);
     pool.insert(pool.end(), retired.begin(), retired.end());
     // Free capacity only shrinks from here on.
-    std::erase_if(pool, [&queue](const target_status* t) { return !queue.smallest_need.fits_in(t->free()); });
-    if (pool.empty())
+    for (std::vector<target_status*>* targets : {&pool, &cordoned})
+        std::erase_if(*targets,
+                      [&queue](const target_status* t) { return !queue.smallest_need.fits_in(t->free()); });
+    if (pool.empty() && cordoned.empty())
         return;
-    unsatisfiable_needs unsatisfiable{pool};
     refresh_ranks(queue, time);
+    plan_waiting_tasks(queue, {std::move(pool), false}, time);
+    // An order for a host may wait for a task that has no place but on this host, or on one whose order waits
+    // for another task in turn.
+    plan_waiting_tasks(queue, {std::move(cordoned), true}, time);
+}
+
+void job_scheduler::plan_waiting_tasks(const service_queue& queue, const candidate_targets& pool,
+                                       scheduler_time time)
+{
+    if (pool.targets.empty())
+        return;
+    unsatisfiable_needs unsatisfiable{pool.targets};
     // Planning a job changes its rank only at the next `update_queues`.
     for (const ranked_job& it : queue.waiting) {
         if (unsatisfiable.covers(queue.smallest_need))
@@ -115,7 +131,7 @@
     }
 }
 
-void job_scheduler::plan_job(open_job& open, const std::vector<target_status*>& pool,
+void job_scheduler::plan_job(open_job& open, const candidate_targets& pool,
                              unsatisfiable_needs& unsatisfiable, scheduler_time time)
 {
     job& j = *open.state;
@@ -123,14 +139,14 @@
         if (!j.due(k, time.unix_ms))
             break;
         for (std::uint32_t s = 0; s < j.record().spec.steps.size(); ++s) {
-            if (j.step_ready(k, s))
+            if (j.step_ready(k, s) && (j.step(s).permanent || !pool.permanent_tasks_only))
                 plan_step(open, k, s, pool, unsatisfiable, time);
         }
     }
 }
 
 void job_scheduler::plan_step(open_job& open, std::uint32_t occurrence, std::uint32_t number,
-                              const std::vector<target_status*>& pool, unsatisfiable_needs& unsatisfiable,
+                              const candidate_targets& pool, unsatisfiable_needs& unsatisfiable,
                               scheduler_time time)
 {
     const step_spec& step = open.state->step(number);
@@ -146,7 +162,7 @@
             continue;
         if (!within_cap(open, step))
             return;
-        target_status* target = choose_target(placement_of(open, p), pool, time.now);
+        target_status* target = choose_target(placement_of(open, p), pool.targets, time.now);
         if (target == nullptr) {
             if (is_suspected(t)) {
                 unsatisfiable.add_suspected(need);
@@ -262,6 +278,8 @@
         return "target changed before the start";
     if (target.evacuated)
         return "zone is evacuated";
+    if (target.leaving)
+        return "host is being moved or maintained";
     if (!target.capacity_known())
         return "capacity of the restarted target is unknown";
     if (target.has_unknown_need())
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -30,6 +30,13 @@
 };
 using unknown_run_map = std::map<std::pair<task_key, run_number>, unknown_run>;
 
+/// What a planned order for its host keeps from a target.
+enum class host_cordon {
+    none,
+    planned, ///< Takes only permanent tasks that have no other place; they don't delay the order.
+    ordered, ///< Takes nothing, since the order may be carried out at any time.
+};
+
 /// What the leader knows about a target.
 struct target_status {
     target_info info; ///< The incarnation is the latest one that is known, also from reports.
@@ -44,9 +51,9 @@
     bool listed_all = true; ///< Whether its latest report has listed all runs and ends.
     bool synced = false;    ///< Whether it has answered this leader, so that it refuses any earlier one.
     bool reachable = true;  ///< Whether it counts as reachable, going by its latest answers.
-    bool cordoned = false;  ///< Whether it takes no new work, because its host will be maintained or moved.
-    bool evacuated = false; ///< Whether its zone is evacuated, so that nothing is started on it.
-    bool leaving = false;   ///< Whether an order that ends all its runs may have been carried out.
+    host_cordon cordon = host_cordon::none;
+    bool evacuated = false;       ///< Whether its zone is evacuated, so that nothing is started on it.
+    bool leaving = false;         ///< Whether an order that ends all its runs may have been carried out.
     timestamp ordered_down_at;    ///< When such an order was confirmed; the epoch if none was.
     bool maintained_soon = false; ///< Whether its host will be maintained soon.
     int missed_observations = 0;  ///< Observations without an answer since the last answer.
--- a/src/plugins/jobs/tests/tst_host_orders.cpp
+++ b/src/plugins/jobs/tests/tst_host_orders.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
 
 using namespace mjm;
@@ -231,7 +232,210 @@
     loop.run_for(5s, play);
     CHECK(refused == before);
     CHECK(std::none_of(f.scheduler.targets().begin(), f.scheduler.targets().end(),
-                       [](const auto& entry) { return entry.second.cordoned; }));
+                       [](const auto& entry) { return entry.second.cordon != host_cordon::none; }));
     loop.run_for(10s, play);
     CHECK(refused > before);
 }
+
+namespace {
+
+/// Hosts a, b and so on with a target each, of which some are due for maintenance. All that is started runs,
+/// and all targets report it.
+class hosts_in_wave {
+public:
+    explicit hosts_in_wave(std::string names) : names_{std::move(names)}
+    {
+        for (const char name : names_)
+            f.add_target(std::string{name});
+        std::shared_ptr<fleet_config> config = std::make_shared<fleet_config>();
+        config->services.emplace(service_id{"fit"}, service_config{service_id{"fit"}, true, false});
+        manager.set_config(config);
+        manager.restore({}, host_order_record{}, 0);
+    }
+    void add_lasting_job(const std::string& name, std::uint32_t tasks, std::uint32_t max_per_target)
+    {
+        f.add_job(name, tasks, 2000, [max_per_target](step_spec& s) {
+            s.permanent = true;
+            s.max_per_target = max_per_target;
+            s.max_unavailable = 1;
+        });
+    }
+    void begin_wave(const std::vector<std::string>& due)
+    {
+        manager.set_waves({{"1", {"1", "", 1, due, 60s, static_cast<std::uint32_t>(due.size())}}});
+    }
+    /// The target and all that runs on it are gone.
+    void lose(const std::string& name)
+    {
+        f.scheduler.on_host_taken_down(target_id{name}, f.now());
+        std::erase_if(running_, [&name](const auto& s) { return s.target.id.str() == name; });
+        names_.erase(names_.find(name), 1);
+    }
+    void run_for(duration d)
+    {
+        loop.run_for(
+            d,
+            [this] {
+                f.advance(20ms);
+                manager.tick();
+                play();
+                for (; !operations.lists.empty(); operations.lists.pop_front())
+                    operations.lists.front()(listed());
+                for (; !operations.orders.empty(); operations.orders.pop_front(), ++orders)
+                    operations.orders.front()(answer);
+            },
+            20ms);
+    }
+    [[nodiscard]] std::size_t runs_of(const std::string& job, const std::string& target = {}) const
+    {
+        return static_cast<std::size_t>(std::count_if(running_.begin(), running_.end(), [&](const auto& s) {
+            return s.order.task.job.str() == job && (target.empty() || s.target.id.str() == target);
+        }));
+    }
+
+    scheduler_fixture f;
+    virtual_loop loop;
+    answered_host_operations operations;
+    tl::expected<void, host_errc> answer; ///< To orders.
+    std::size_t orders = 0;
+    std::size_t stops = 0;
+
+private:
+    [[nodiscard]] std::vector<host_info> listed() const
+    {
+        std::vector<host_info> out;
+        for (const char name : names_)
+            out.push_back({std::string{"host-"} + name,
+                           service_id{"fit"},
+                           host_state::up,
+                           {32'000, 131'072, 0, 0},
+                           target_id{std::string{name}},
+                           {}});
+        return out;
+    }
+    void play()
+    {
+        for (const start_command& s : f.plan_and_store()) {
+            f.confirm(s);
+            running_.push_back(s);
+        }
+        std::map<target_id, std::vector<listed_end>> ends;
+        for (const stop_command& stop : f.take_stops()) {
+            const auto it = std::find_if(running_.begin(), running_.end(), [&stop](const start_command& s) {
+                return s.order.task == stop.task && s.order.run == stop.run;
+            });
+            if (it == running_.end())
+                continue;
+            ends[it->target.id].push_back(ended(*it, ++stops, run_end::stopped));
+            running_.erase(it);
+        }
+        for (const char name : names_) {
+            const target_id id{std::string{name}};
+            std::vector<listed_run> runs;
+            for (const start_command& s : running_) {
+                if (s.target.id == id)
+                    runs.push_back(running(s));
+            }
+            f.report(id, runs, ends[id]);
+        }
+    }
+
+    std::string names_;
+    std::vector<start_command> running_;
+    fake_transaction_store store_{loop};
+    fake_store_link link_{loop, store_};
+    log_sink sink_{log_settings{}, loop.time(), [](const std::string&) {}};
+
+public:
+    host_manager manager{{},
+                         {f.scheduler, operations, link_, loop.time(), logger{sink_, "test"}},
+                         put_leader_key(store_),
+                         [this] { return loop.time().now() + 1s; }};
+};
+
+} // namespace
+
+// Guards against a host whose maintenance waits for a task that could run on this host alone, and that is
+// kept from it for the maintenance: neither ever went on.
+TEST_CASE("a host takes work while its maintenance waits for tasks that have no place elsewhere")
+{
+    hosts_in_wave t{"ab"};
+    t.add_lasting_job("wide", 2, 1);
+    t.add_lasting_job("narrow", 1, 1);
+    t.run_for(100ms);
+    REQUIRE(t.runs_of("wide") == 2);
+    const std::string lost = t.runs_of("narrow", "a") == 1 ? "a" : "b";
+    const std::string left = lost == "a" ? "b" : "a";
+    t.lose(lost);
+    t.begin_wave({"host-" + left});
+    t.loop.run_for(200ms, [&t] { t.manager.tick(); }); // Chooses hosts before the loss is handled.
+    t.run_for(1s);
+    CHECK(t.runs_of("narrow", left) == 1);
+    t.f.add_job("short", 1);
+    t.run_for(1s);
+    CHECK(t.runs_of("short", left) == 1);
+    CHECK(t.orders == 0);
+    CHECK(t.runs_of("wide") == 1);
+}
+
+// Guards against a task with no other place that waits until the work on a host has ended and its maintenance
+// is over.
+TEST_CASE("a permanent task without another place is started on a host that is to be maintained")
+{
+    hosts_in_wave t{"a"};
+    t.f.add_job("short", 1);
+    t.run_for(100ms);
+    REQUIRE(t.runs_of("short") == 1);
+    t.begin_wave({"host-a"});
+    t.run_for(1s);
+    t.f.add_job("late", 1);
+    t.add_lasting_job("lasting", 1, 1);
+    t.run_for(1s);
+    CHECK(t.orders == 0); // Waits for the task that ends by itself.
+    CHECK(t.runs_of("lasting") == 1);
+    CHECK(t.runs_of("late") == 0);
+}
+
+// Guards against tasks that are stopped to make way for maintenance and come back to the same host.
+TEST_CASE("a task is moved off a host for maintenance only if another host takes it")
+{
+    hosts_in_wave t{"a"};
+    t.add_lasting_job("pair", 2, 0);
+    t.run_for(100ms);
+    REQUIRE(t.runs_of("pair", "a") == 2);
+    t.begin_wave({"host-a"});
+    t.run_for(10s);
+    CHECK(t.stops == 0);
+    CHECK(t.orders == 0);
+    CHECK(t.f.scheduler.targets().at(target_id{"a"}).cordon == host_cordon::none);
+}
+
+// Guards against a host that takes no work for as long as the platform refuses its maintenance.
+TEST_CASE("a host whose maintenance is refused takes work until it is chosen again")
+{
+    hosts_in_wave t{"a"};
+    t.answer = tl::unexpected{host_errc::overloaded};
+    t.begin_wave({"host-a"});
+    t.run_for(1s);
+    t.f.add_job("short", 1);
+    t.run_for(4s);
+    CHECK(t.runs_of("short") == 1);
+    const std::size_t refused = t.orders;
+    t.answer = {};
+    t.run_for(20s);
+    CHECK(t.orders > refused);
+}
+
+// Guards against a start that was planned before an order for its host and is sent after it.
+TEST_CASE("a planned run is not started once an order for its host has been sent")
+{
+    scheduler_fixture f;
+    const target_id a = f.add_target("a");
+    f.add_job("j", 1);
+    f.scheduler.plan(f.now());
+    f.scheduler.set_leaving(a, true);
+    f.scheduler.on_stored(f.scheduler.unstored(10), f.now());
+    CHECK(f.take_starts().empty());
+    f.scheduler.set_leaving(a, false);
+    CHECK(f.plan_and_store().size() == 1);
+}
--- a/src/plugins/jobs/tests/tst_job_decisions.cpp
+++ b/src/plugins/jobs/tests/tst_job_decisions.cpp
@@ -101,7 +101,7 @@
     step.need = {1000, 1024, 0, 0};
     const placement_request request{&step, nullptr, {}, {}};
     CHECK(choose_target(request, pool, timestamp{}) == &half);
-    half.cordoned = true;
+    half.cordon = host_cordon::ordered;
     CHECK(choose_target(request, pool, timestamp{}) == &empty);
     empty.info.state = target_state::draining;
     CHECK(choose_target(request, pool, timestamp{}) == nullptr);
--- a/src/plugins/jobs/tests/tst_target_crashes.cpp
+++ b/src/plugins/jobs/tests/tst_target_crashes.cpp
@@ -430,7 +430,7 @@
     scheduler_fixture f;
     add_targets(f, {"a"});
     REQUIRE(f.run_job("j", 1).size() == 1);
-    f.scheduler.set_cordons({"host-a"}, {});
+    f.scheduler.set_cordons({{"host-a"}, {}, {}});
     crash(f, target_id{"a"});
     CHECK(history_of(f, "j") == crash_history{1, 1, 0});
 }
