Don't take a step's own conditions for a lack of capacity of suspects

Cause: a suspected task that finds no target was taken to show that no target has capacity for any suspected task with the same need. Its step may allow one task on each target only; then its wait, which can be without an end, held up each later suspected task.

Change: only a step without conditions of its own shows a lack of capacity, as was already so for tasks that aren't suspected.

--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -164,12 +164,15 @@
             return;
         target_status* target = choose_target(placement_of(open, p), pool.targets, time.now);
         if (target == nullptr) {
+            // The step's own conditions may be the cause, which tells nothing about other steps.
+            const bool lacks_capacity =
+                step.required_label.empty() && step.max_per_target == 0 && !step.backfill;
             if (is_suspected(t)) {
-                unsatisfiable.add_suspected(need);
+                if (lacks_capacity)
+                    unsatisfiable.add_suspected(need);
                 continue; // Other tasks have fewer conditions.
             }
-            // If the step has no other conditions, the only cause is a lack of free capacity.
-            if (step.required_label.empty() && step.max_per_target == 0 && !step.backfill)
+            if (lacks_capacity)
                 unsatisfiable.add(need);
             return;
         }
--- a/src/plugins/jobs/tests/tst_target_crashes.cpp
+++ b/src/plugins/jobs/tests/tst_target_crashes.cpp
@@ -434,3 +434,31 @@
     crash(f, target_id{"a"});
     CHECK(history_of(f, "j") == crash_history{1, 1, 0});
 }
+
+// Guards against tasks that wait without an end since another suspected task, whose step may have only one
+// task on each target, finds no place.
+TEST_CASE("a suspected task that its step's own conditions keep waiting doesn't hold up others")
+{
+    const std::string wide = GENERATE(as<std::string>{}, "a", "z");
+    CAPTURE(wide);
+    scheduler_fixture f;
+    add_targets(f, {"a", "b"});
+    const auto lasting = [](step_spec& s) {
+        s.permanent = true;
+        s.max_per_target = 1;
+    };
+    std::vector<start_command> starts = f.run_job(wide, 2, 2000, lasting);
+    const std::vector<start_command> narrow = f.run_job("narrow", 1, 2000, lasting);
+    REQUIRE(starts.size() == 2);
+    REQUIRE(narrow.size() == 1);
+    const target_id lost = narrow[0].target.id;
+    const start_command& stays = starts[0].target.id == lost ? starts[1] : starts[0];
+    for (int i = 0; i < 30 && starts_of(start_all(f), "narrow").empty(); ++i) {
+        f.miss(lost);
+        f.report(stays.target.id, {running(stays)});
+        f.advance(300ms);
+    }
+    CHECK(f.scheduler.find_job(job_id{"narrow"})->active_runs() == 1);
+    REQUIRE(f.scheduler.find_job(job_id{"narrow"})->at({0, 0, 0}).run);
+    CHECK(f.scheduler.find_job(job_id{"narrow"})->at({0, 0, 0}).run->target == stays.target.id);
+}
