Close the idle connections to an address at which a call is overdue

Cause: a path may lose all its open connections without a reset. A time-out closed the connection that failed only, and the next call took the next idle one: a loop of calls, such as a watch, waited for one time-out for each connection that was once open, while all other loops did the same.

Result: the new case of tst_http_client fails without the change (by time-out and overdue).

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -64,6 +64,7 @@
         std::string head;
         std::string body;
         steady::time_point deadline;
+        duration answer_delay;
         /// The deadline on a clock that also counts suspended time. No byte is sent after it.
         timestamp timeout_at;
         timestamp send_until; ///< No byte is sent from then on, whatever is left of the timeout.
@@ -79,6 +80,8 @@
     void send(std::shared_ptr<call> c);
     /// Sends the call that has waited longest, when a connection has become free.
     void send_waiting(const http_endpoint& endpoint);
+    /// Closes the idle connections from which nothing has come for the time after which answers are overdue.
+    void close_suspects(const http_endpoint& endpoint);
     void close_all();
 
     asio::io_context& context_;
@@ -134,6 +137,8 @@
         return ec == asio::error::would_block;
     }
 
+    [[nodiscard]] steady::time_point last_answer_at() const { return last_answer_at_; }
+
     void reuse(std::shared_ptr<call> c)
     {
         call_ = std::move(c);
@@ -185,12 +190,28 @@
 
     void on_timer()
     {
-        if (state_ == state::idle)
+        if (state_ == state::idle) {
             close();
-        else if (call_)
+            return;
+        }
+        if (!call_)
+            return;
+        if (sent_)
+            client_->close_suspects(endpoint_);
+        if (steady::now() < call_->deadline)
+            arm(call_->deadline); // The answer is overdue, but may still come.
+        else
             fail(sent_ ? http_errc::timed_out : http_errc::not_connected);
     }
 
+    [[nodiscard]] steady::time_point overdue_at() const
+    {
+        const std::optional<duration>& overdue_after = client_->settings_.overdue_after;
+        if (!overdue_after)
+            return call_->deadline;
+        return std::min(call_->deadline, steady::now() + call_->answer_delay + *overdue_after);
+    }
+
     void fail(http_errc ec)
     {
         // Unsent bytes must not reach the server after the caller has been told that the call has failed; a
@@ -225,7 +246,7 @@
         }
         state_ = state::writing;
         sent_ = true;
-        arm(call_->deadline);
+        arm(overdue_at());
         const std::array<asio::const_buffer, 2> buffers{asio::buffer(call_->head), asio::buffer(call_->body)};
         asio::async_write(socket_, buffers,
                           [self = shared_from_this(), c = call_](error_code ec, std::size_t n) {
@@ -308,6 +329,7 @@
     {
         state_ = state::idle;
         sent_ = false;
+        last_answer_at_ = steady::now();
         parser_.reset();
         buffer_.clear();
         buffer_.shrink_to_fit();
@@ -329,6 +351,7 @@
     state state_ = state::created;
     bool sent_ = false;   ///< Bytes of the current call may have been sent.
     bool reused_ = false; ///< A call was completed on this connection before.
+    steady::time_point last_answer_at_;
     std::uint64_t use_ = 0;
 };
 
@@ -382,6 +405,24 @@
     }
 }
 
+void http_client::impl::close_suspects(const http_endpoint& endpoint)
+{
+    const auto it = pools_.find(endpoint);
+    if (it == pools_.end())
+        return;
+    const steady::time_point now = steady::now();
+    const std::vector<std::shared_ptr<connection>> idle = it->second.idle; // Closing removes them.
+    std::size_t closed = 0;
+    for (const std::shared_ptr<connection>& c : idle) {
+        if (now - c->last_answer_at() < settings_.overdue_after.value_or(duration{0}))
+            continue;
+        c->close();
+        ++closed;
+    }
+    if (closed > 0 && settings_.on_suspects_closed)
+        settings_.on_suspects_closed(closed);
+}
+
 void http_client::impl::close_all()
 {
     closed_ = true;
@@ -407,7 +448,7 @@
 }
 
 void http_client::send(const http_endpoint& endpoint, http_request request, duration timeout, callback done,
-                       timestamp send_until)
+                       timestamp send_until, duration answer_delay)
 {
     const std::shared_ptr<impl::call> c = std::make_shared<impl::call>();
     c->endpoint = endpoint;
@@ -415,6 +456,7 @@
     c->head = format_head(endpoint, request);
     c->body = std::move(request.body);
     c->deadline = steady::now() + timeout;
+    c->answer_delay = answer_delay;
     c->timeout_at = impl_->time_.now() + timeout;
     c->send_until = send_until;
     c->done = std::move(done);
--- a/src/libs/net/tests/tst_http_client.cpp
+++ b/src/libs/net/tests/tst_http_client.cpp
@@ -283,3 +283,43 @@
     boost::system::error_code ec;
     CHECK(socket.read_some(buffer(byte), ec) == 0);
 }
+
+// Guards against calls that wait for one dead connection after the other when all that were open have gone
+// silent.
+TEST_CASE("guards against waiting for each of several connections that went silent together")
+{
+    const bool by_timeout = GENERATE(true, false);
+    CAPTURE(by_timeout);
+    io_runtime runtime;
+    runtime.start();
+    http_client_settings settings = patient();
+    std::promise<std::size_t> closed;
+    settings.on_suspects_closed = [&closed](std::size_t n) { closed.set_value(n); };
+    if (!by_timeout)
+        settings.overdue_after = std::chrono::milliseconds{100};
+    http_client client{runtime, settings};
+    raw_server server;
+    std::vector<std::future<tl::expected<http_response, http_errc>>> calls;
+    std::vector<tcp::socket> silent;
+    for (int i = 0; i < 3; ++i) {
+        calls.push_back(send_async(client, server.port(), get_request()));
+        silent.push_back(server.accept());
+        raw_server::read_head(silent.back());
+    }
+    for (std::size_t i = 0; i < calls.size(); ++i) {
+        boost::asio::write(silent[i], buffer(ok));
+        REQUIRE(calls[i].get());
+    }
+    auto unanswered = send_async(client, server.port(), get_request(),
+                                 by_timeout ? std::chrono::seconds{1} : duration{never});
+    std::future<std::size_t> closed_connections = closed.get_future();
+    REQUIRE(closed_connections.wait_for(std::chrono::seconds{30}) == std::future_status::ready);
+    CHECK(closed_connections.get() == 2);
+    if (by_timeout)
+        CHECK(unanswered.get().error() == http_errc::timed_out);
+    auto next = send_async(client, server.port(), get_request());
+    tcp::socket fresh = server.accept();
+    raw_server::read_head(fresh);
+    boost::asio::write(fresh, buffer(ok));
+    CHECK(next.get()->body == "ok");
+}
