Read a target's clock again after a start that came too late

A start that took longer than 0.1 s, on a busy machine or a slow path, or that was computed with a clock reading that no longer fits the target, was refused as late, and was repeated with the same reading and the same lease for as long as the reading was kept, 30 s. Callers would see a job without a start beside an idle target.

Change: after a start that came too late the target's clock is read before the next one, and the lease of the next run that is to end with it is twice as long, up to 1.6 s.

--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -439,6 +439,8 @@
     /// that run has ended.
     task_run* apply_answer(const target_id& target, const task_key& key, run_number run,
                            const tl::expected<order_answer, order_errc>& answer, scheduler_time time);
+    /// Handles that the target has refused a start since its lease was over.
+    void on_late_start(target_status& t, timestamp now);
     /// Discards a run whose start has reached another target, so that it never ran.
     void discard_unreceived_start(const target_id& target, const task_key& key, run_number run,
                                   scheduler_time time);
--- a/src/plugins/jobs/lease_policy.cpp
+++ b/src/plugins/jobs/lease_policy.cpp
@@ -19,11 +19,15 @@
     return lease_of(clock, age, length);
 }
 
-std::optional<granted_lease> lease_policy::grant_expiring(const clock_reading& clock, timestamp now) const
+std::optional<granted_lease> lease_policy::grant_expiring(const clock_reading& clock, timestamp now,
+                                                          int late_starts) const
 {
     if (!may_grant(now))
         return std::nullopt;
-    return lease_of(clock, now - clock.read_at, settings_.expiring);
+    duration length = settings_.expiring;
+    for (int i = 0; i < late_starts && length < settings_.longest_expiring; ++i)
+        length *= 2;
+    return lease_of(clock, now - clock.read_at, std::min(length, settings_.longest_expiring));
 }
 
 granted_lease lease_policy::lease_of(const clock_reading& clock, duration age, duration length) const
--- a/src/plugins/jobs/lease_policy.h
+++ b/src/plugins/jobs/lease_policy.h
@@ -15,8 +15,10 @@
     duration normal{std::chrono::milliseconds{4300}};
     /// Longest lease that a target accepts; it shortens any other. The platform's `hold-max-ms`.
     duration longest{std::chrono::milliseconds{6000}};
-    /// Lease of a run that is to end with it. It covers the way of the start to the target.
+    /// Lease of a run that is to end with it. It covers the way of the start to the target, and is doubled
+    /// after each start that came too late.
     duration expiring{std::chrono::milliseconds{100}};
+    duration longest_expiring{std::chrono::milliseconds{1600}};
     /// Targets get the longest lease if less than this is left of the leader's own one. Its renewal is
     /// overdue then, and the targets' work should outlast an election or a short outage of the store.
     duration renewal_overdue{std::chrono::milliseconds{1000}};
@@ -58,9 +60,10 @@
     [[nodiscard]] timestamp leader_lease_until() const { return leader_lease_until_; }
     /// Returns the lease that a target with this clock gets, or no value if another host may lead by now.
     [[nodiscard]] std::optional<granted_lease> grant(const clock_reading& clock, timestamp now) const;
-    /// Returns the lease of a run that is to end with it, or no value likewise.
-    [[nodiscard]] std::optional<granted_lease> grant_expiring(const clock_reading& clock,
-                                                              timestamp now) const;
+    /// Returns the lease of a run that is to end with it, or no value likewise. `late_starts` is the number
+    /// of starts in a row that came too late for such a lease.
+    [[nodiscard]] std::optional<granted_lease> grant_expiring(const clock_reading& clock, timestamp now,
+                                                              int late_starts) const;
     /// Whether the target's clock has to be read again, since it may have drifted.
     [[nodiscard]] bool too_old(const clock_reading& clock, timestamp now) const;
     /// Sets the stored wait for the lease of a target that was silent under an earlier leader.
--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -33,7 +33,7 @@
 {
     return t.listed && t.synced && t.reachable && t.cordon != host_cordon::ordered && !t.evacuated &&
            !t.leaving && t.info.state == target_state::ready && now >= t.avoid_until && t.capacity_known() &&
-           !t.has_unknown_need() && !t.lease_wait_stored;
+           !t.clock_doubtful && !t.has_unknown_need() && !t.lease_wait_stored;
 }
 
 /// Whether the target's other runs allow one more of the task, going by the crashes that they may cause.
--- a/src/plugins/jobs/scheduler_given_up.cpp
+++ b/src/plugins/jobs/scheduler_given_up.cpp
@@ -108,6 +108,7 @@
     }
     t.withheld_ends.clear();
     t.expiring = false;
+    t.late_expiring_starts = 0;
 }
 
 void job_scheduler::withhold_unreadable_end(target_status& t, const target_report& report)
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -248,9 +248,9 @@
         return;
     }
     target_status* target = find_target(t.run->target);
-    const std::optional<granted_lease> lease = target->expiring
-                                                   ? leases_.grant_expiring(*target->clock, time.now)
-                                                   : leases_.grant(*target->clock, time.now);
+    const std::optional<granted_lease> lease =
+        target->expiring ? leases_.grant_expiring(*target->clock, time.now, target->late_expiring_starts)
+                         : leases_.grant(*target->clock, time.now);
     if (!lease) {
         discard_run(open, p, "another host may lead", time);
         return;
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -24,6 +24,7 @@
     if (t.clock && t.clock->shown_ms - clock_ms > to_ms(max_answer_delay))
         t.lease_until = std::max(t.lease_until, leases_.longest_lease_over_at(now));
     t.clock = clock_reading{clock_ms, now};
+    t.clock_doubtful = false;
 }
 
 task_run* job_scheduler::apply_answer(const target_id& target, const task_key& key, run_number run,
@@ -88,8 +89,8 @@
             t->avoid_until = std::max(t->avoid_until, time.now + settings_.refusal_pause);
         break;
     case order_errc::too_late:
-        if (t != nullptr && t->expiring)
-            t->avoid_until = std::max(t->avoid_until, time.now + settings_.refusal_pause);
+        if (t != nullptr)
+            on_late_start(*t, time.now);
         break;
     case order_errc::not_sent:
         if (t != nullptr) {
@@ -103,6 +104,17 @@
     discard_run(open, key.position, name_of(ec).data(), time);
 }
 
+void job_scheduler::on_late_start(target_status& t, timestamp now)
+{
+    t.clock_doubtful = true;
+    if (!t.observing)
+        t.next_observation = now;
+    if (!t.expiring)
+        return;
+    ++t.late_expiring_starts;
+    t.avoid_until = std::max(t.avoid_until, now + settings_.refusal_pause);
+}
+
 void job_scheduler::discard_unreceived_start(const target_id& target, const task_key& key, run_number run,
                                              scheduler_time time)
 {
@@ -143,7 +155,7 @@
     for (const auto& [id, t] : targets_) {
         if (t.observing || now < t.next_observation)
             continue;
-        const bool clock_too_old = t.clock && leases_.too_old(*t.clock, now);
+        const bool clock_too_old = t.clock_doubtful || (t.clock && leases_.too_old(*t.clock, now));
         if (!t.synced || !t.reachable || !t.runs.empty() || !t.unknown_runs.empty() ||
             t.ends_acknowledged < t.last_end_to_acknowledge() || clock_too_old)
             out.push_back(id);
@@ -254,9 +266,11 @@
     run_times_.forget_target(t.info.id);
     t.slowness = 1.0;
     t.expiring = false;
+    t.late_expiring_starts = 0;
     // An order to the former incarnation may extend the present one's lease before its token has risen.
     t.lease_until = std::max(t.lease_until, leases_.longest_lease_over_at(time.now));
     t.clock.reset();
+    t.clock_doubtful = false;
     t.ends_seen = 0;
     t.ends_acknowledged = 0;
     t.acknowledgement_in_flight = 0;
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -68,8 +68,10 @@
     unknown_run_map unknown_runs;
 
     std::optional<clock_reading> clock; ///< Empty while the present incarnation has not answered.
+    bool clock_doubtful = false; ///< Whether a start came too late by it, so that it has to be read again.
     timestamp lease_until; ///< Latest time at which all its runs have stopped if the lease is not extended.
     std::size_t ends_until_cut_off = 0; ///< As of its latest report.
+    int late_expiring_starts = 0;       ///< Starts in a row that came too late to run with an expiring lease.
     bool expiring = false;          ///< Whether its lease is not extended, so that its last run ends with it.
     bool lease_wait_stored = false; ///< Whether the store may have a wait for the end of its lease.
     /// When this leader granted the latest lease; the epoch if it has granted none.
--- a/src/plugins/jobs/tests/tst_given_up_runs.cpp
+++ b/src/plugins/jobs/tests/tst_given_up_runs.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace mjm;
 using namespace std::chrono_literals;
 
@@ -400,3 +402,58 @@
     const bool accepts = accepts_expiring_run(t.f.scheduler.targets().at(t.a), t.f.now().now);
     CHECK(accepts == (report.ends_until_cut_off == 2));
 }
+
+namespace {
+
+/// Target `a` keeps an end that contradicts a later start, and is the only one with its label.
+class retired_target : public task_on_silent_target {
+public:
+    retired_target()
+    {
+        complete(start_again());
+        target_info info = f.info_of("a");
+        info.labels = {"only"};
+        f.scheduler.set_target(info, f.now());
+        f.report(a, {}, {withheld()});
+        REQUIRE_FALSE(accepts_work());
+    }
+    [[nodiscard]] listed_end withheld() const { return ended(starts[0], 1, run_end::done); }
+    /// Returns the start of the job's task on the target, if it is ordered.
+    std::optional<start_command> start_here()
+    {
+        const std::vector<start_command> all = f.plan_and_store();
+        const auto it =
+            std::find_if(all.begin(), all.end(), [this](const auto& s) { return s.target.id == a; });
+        return it == all.end() ? std::nullopt : std::optional{*it};
+    }
+    [[nodiscard]] bool observation_due() const
+    {
+        const std::vector<target_id> due = f.scheduler.due_observations(f.now().now);
+        return std::find(due.begin(), due.end(), a) != due.end();
+    }
+};
+
+} // namespace
+
+// Guards against a target that is out of use for good, since each start with a lease that ends at once comes
+// too late there: the way is slow, or its clock differs from the one that was read long before.
+TEST_CASE("a start that is too late for a lease that ends at once is repeated with a longer one")
+{
+    retired_target t;
+    t.f.add_job("k", 1, 2000, [](step_spec& s) { s.required_label = "only"; });
+    const std::int64_t first = to_ms(lease_settings{}.expiring);
+    for (const std::int64_t length : {first, 2 * first, 4 * first}) {
+        CAPTURE(length);
+        t.f.advance(100ms);
+        const std::optional<start_command> start = t.start_here();
+        REQUIRE(start);
+        CHECK(start->order.deadline_ms - t.f.clock_ms() <= length);
+        CHECK(start->order.deadline_ms - t.f.clock_ms() > length - first / 2);
+        t.f.scheduler.on_start_answer(t.a, start->order.task, start->order.run,
+                                      tl::unexpected{order_errc::too_late}, t.f.now());
+        t.f.advance(1s);             // Until that lease is over, had the run started.
+        CHECK_FALSE(t.start_here()); // The clock that was read before is not used again.
+        CHECK(t.observation_due());
+        t.f.report(t.a, {}, {t.withheld()});
+    }
+}
