Let suspects of crashes free a target that keeps an end

Cause: tasks that are suspected of crashes were not used for that, whether they had to be isolated or not. Where they are all the work that the target can do, because of a label or a limit on each target, they waited for the target, and the target for other work, without an end.

Change: such a task is placed on the target like any other.

Result: the new case of tst_given_up_runs, with one suspect that has to be isolated and with two that have to be kept apart, fails without the change.

--- a/src/plugins/jobs/placement.cpp
+++ b/src/plugins/jobs/placement.cpp
@@ -46,8 +46,7 @@
 
 bool may_run(const target_status& t, const placement_request& request, timestamp now)
 {
-    // A run that ends with its lease tells nothing of the crashes that its task may cause.
-    const bool expires = !request.isolated && !request.suspected && accepts_expiring_run(t, now);
+    const bool expires = accepts_expiring_run(t, now);
     const bool stays_until_order = request.step->permanent && accepts_permanent_tasks(t, now);
     return (accepts_work(t, now) || expires || stays_until_order) &&
            has_label(t, request.step->required_label) && has_place(t, request) && separated(t, request) &&
--- a/src/plugins/jobs/scheduler_crashes.cpp
+++ b/src/plugins/jobs/scheduler_crashes.cpp
@@ -286,8 +286,8 @@
     const open_job& open = *find_open(key.job);
     if (!t.kept_for_isolation || t.info.service != open.service)
         return false;
-    return t.runs.contains(key) ||
-           (accepts_work(t, now) && within_cap(open, open.state->step(key.position.step)));
+    return t.runs.contains(key) || ((accepts_work(t, now) || accepts_expiring_run(t, now)) &&
+                                    within_cap(open, open.state->step(key.position.step)));
 }
 
 void job_scheduler::update_isolation(scheduler_time time)
@@ -369,8 +369,8 @@
     // A crash of a host that has crashed before would tell nothing about the task.
     const auto cost = [&](const target_status* t) {
         const auto crashed = crashed_hosts_.find(t->info.host);
-        return std::tuple{crashed != crashed_hosts_.end() && now < crashed->second, !has_place(*t, request),
-                          t->runs_on_probation, t->runs.size()};
+        return std::tuple{t->retired(), crashed != crashed_hosts_.end() && now < crashed->second,
+                          !has_place(*t, request), t->runs_on_probation, t->runs.size()};
     };
     target_status* best = nullptr;
     for (target_status* t : pool) {
--- a/src/plugins/jobs/scheduler_plan.cpp
+++ b/src/plugins/jobs/scheduler_plan.cpp
@@ -101,8 +101,8 @@
     }
     if (pool.empty() && retired.empty() && cordoned.empty())
         return;
-    plan_isolated_tasks(service, pool, time);
     pool.insert(pool.end(), retired.begin(), retired.end());
+    plan_isolated_tasks(service, pool, time);
     // Free capacity only shrinks from here on.
     for (std::vector<target_status*>* targets : {&pool, &cordoned})
         std::erase_if(*targets,
--- a/src/plugins/jobs/tests/tst_given_up_runs.cpp
+++ b/src/plugins/jobs/tests/tst_given_up_runs.cpp
@@ -457,3 +457,35 @@
         t.f.report(t.a, {}, {t.withheld()});
     }
 }
+
+// Guards against a target that is out of use for good, since all work that it alone can do is suspected of
+// crashes.
+TEST_CASE("a task that is suspected of crashes frees a target by a run that ends with its lease")
+{
+    const std::uint32_t suspects = GENERATE(1, 2); // A single one has to be isolated.
+    CAPTURE(suspects);
+    retired_target t;
+    target_info info = t.f.info_of("c");
+    info.labels = {"only"};
+    t.f.add_target("c");
+    t.f.scheduler.set_target(info, t.f.now());
+    const std::vector<start_command> lost =
+        t.f.run_job("k", suspects, 2000, [](step_spec& s) { s.required_label = "only"; });
+    REQUIRE(lost.size() == suspects);
+    REQUIRE(lost[0].target.id == target_id{"c"});
+    const timestamp sent_at = t.f.now().now;
+    static_cast<void>(t.f.scheduler.begin_observation(target_id{"c"}, sent_at));
+    t.f.scheduler.on_report(target_id{"c"}, tl::unexpected{order_errc::other_instance}, sent_at, t.f.now());
+    std::optional<start_command> start;
+    for (int i = 0; i < 20 && !start; ++i) {
+        t.f.advance(100ms);
+        start = t.start_here();
+    }
+    REQUIRE(start);
+    CHECK(start->order.deadline_ms <= t.f.clock_ms() + to_ms(lease_settings{}.expiring));
+    t.f.confirm(*start);
+    t.f.report(t.a, {running(*start)}, {t.withheld()});
+    t.f.advance(150ms);
+    t.f.report(t.a, {}, {t.withheld(), ended(*start, 2, run_end::lease_expired)});
+    CHECK(t.accepts_work());
+}
