Count runs that are no task's current one in their team's cap

Cause: such a run is being stopped, since an earlier run of its task has ended with the result, or since it was ordered before its target fell silent. Its team got its share back at once, though the run goes on until the stop, or the end of its lease, has taken effect. With a target that was cut off again, that takes seconds, and the next jobs of the team came on top.

Change: the team's use includes the unknown runs of all targets. They are released when a report no longer lists them, when their target has left the fleet, or when its lease is over while it is silent.

--- a/src/plugins/jobs/job_scheduler.cpp
+++ b/src/plugins/jobs/job_scheduler.cpp
@@ -276,6 +276,22 @@
     plan_needed_.insert(open.service);
 }
 
+void job_scheduler::note_need(unknown_run& unknown, const open_job& open, const task_position& p) const
+{
+    const step_spec& step = open.state->step(p.step);
+    unknown.need = counted_need(step);
+    unknown.team = open.state->record().team;
+    unknown.team_need = step.need;
+}
+
+void job_scheduler::release_unknown_runs(const unknown_run_map& runs)
+{
+    for (const auto& [run, it] : runs) {
+        if (it.need)
+            team_use_[it.team] -= it.team_need;
+    }
+}
+
 void job_scheduler::discard_run(open_job& open, const task_position& p, const char* reason,
                                 scheduler_time time)
 {
@@ -419,7 +435,10 @@
 void job_scheduler::tick(scheduler_time time)
 {
     for (auto& [id, t] : targets_) {
-        if (!t.runs.empty() && !t.reachable && time.now > t.lease_until && time.now > lease_over_at(t)) {
+        if (t.reachable || time.now <= t.lease_until || time.now <= lease_over_at(t))
+            continue;
+        release_unknown_runs(std::exchange(t.unknown_runs, {}));
+        if (!t.runs.empty()) {
             log_event(scheduler_event::target_lost, {}, nullptr, 0, id,
                       "lease expired, " + lease_basis(t, time.now), to_ms(time.now - t.lease_until));
             lose_silent_target(t, time);
@@ -430,6 +449,7 @@
         const target_status& t = entry.second;
         if (t.listed || !t.runs.empty() || !t.unstored.empty() || t.observing || time.now <= t.lease_until)
             return false;
+        release_unknown_runs(t.unknown_runs);
         targets_by_service_[t.info.service].erase(entry.first);
         paces_.erase(entry.first);
         run_times_.forget_target(entry.first);
--- a/src/plugins/jobs/job_scheduler.h
+++ b/src/plugins/jobs/job_scheduler.h
@@ -220,6 +220,9 @@
     void release_capacity(open_job& open, const task_position& p, const task_run& run);
     /// Adds the runs that were restored before their target was listed to the target's used capacity.
     void account_restored_runs(target_status& t);
+    /// Notes what a run that is no task's current one uses.
+    void note_need(unknown_run& unknown, const open_job& open, const task_position& p) const;
+    void release_unknown_runs(const unknown_run_map& runs);
     /// Removes a run that has no effect any more, so that its task can be started again.
     void discard_run(open_job& open, const task_position& p, const char* reason, scheduler_time time);
     /// Stops the runs of a job that has ended or is cancelled, and handles a newly reached final state.
@@ -493,7 +496,7 @@
     std::map<target_id, backfill_pace> paces_; ///< Of targets with backfill runs or a limit of their paces.
     std::map<service_id, std::map<target_id, target_status*>> targets_by_service_;
     std::set<target_id> with_unstored_ends_; ///< Targets whose ends the store may not have.
-    std::map<team_id, resources> team_use_;
+    std::map<team_id, resources> team_use_;  ///< Of all runs, also those in `unknown_runs` of targets.
     std::map<job_id, open_job*> jobs_with_runs_;
     write_queue unstored_;
     crash_rate crash_rate_;
--- a/src/plugins/jobs/scheduler_given_up.cpp
+++ b/src/plugins/jobs/scheduler_given_up.cpp
@@ -92,8 +92,12 @@
         if (later == nullptr || it.run->phase != run_phase::running || !it.run->listed)
             return false;
         const task_key key{open.state->id(), p};
-        unknown_run& stopped = later->unknown_runs[{key, it.run->number}];
-        stopped.need = counted_need(open.state->step(p.step));
+        const auto [entry, added] = later->unknown_runs.try_emplace({key, it.run->number});
+        unknown_run& stopped = entry->second;
+        if (added) {
+            note_need(stopped, open, p);
+            team_use_[stopped.team] += stopped.team_need;
+        }
         stop_unknown_run(*later, {key, it.run->number, {}, full_pace, 0.0}, stopped, time.now);
     }
     discard_run(open, p, "an earlier run has ended", time);
--- a/src/plugins/jobs/scheduler_reports.cpp
+++ b/src/plugins/jobs/scheduler_reports.cpp
@@ -447,9 +447,12 @@
                        ? &open->state->at(r.task.position)
                        : nullptr;
         if (it == nullptr || !it->run || it->run->number != r.run || it->run->target != t.info.id) {
-            unknown_run& unknown = t.unknown_runs[{r.task, r.run}];
-            if (it != nullptr)
-                unknown.need = counted_need(open->state->step(r.task.position.step));
+            const auto [entry, added] = t.unknown_runs.try_emplace({r.task, r.run});
+            unknown_run& unknown = entry->second;
+            if (added && it != nullptr) {
+                note_need(unknown, *open, r.task.position);
+                team_use_[unknown.team] += unknown.team_need;
+            }
             const auto before = unknown_before.find({r.task, r.run});
             if (before != unknown_before.end())
                 unknown.stop_sent_at = before->second.stop_sent_at;
@@ -475,6 +478,7 @@
         }
         move_if_stalled(*open, r.task.position, report.clock_ms, time);
     }
+    release_unknown_runs(unknown_before);
     if (std::any_of(unknown_before.begin(), unknown_before.end(),
                     [&t](const auto& entry) { return !t.unknown_runs.contains(entry.first); }))
         plan_needed_.insert(t.info.service);
--- a/src/plugins/jobs/target_status.h
+++ b/src/plugins/jobs/target_status.h
@@ -26,6 +26,8 @@
 /// A run that a target lists although it is not its task's current run. The target has been told to stop it.
 struct unknown_run {
     std::optional<resources> need; ///< What its task reserves; empty if the task is unknown.
+    team_id team;                  ///< Empty if the task is unknown or its queue is open to all.
+    resources team_need;           ///< What counts in the cap of the team.
     timestamp stop_sent_at;
 };
 using unknown_run_map = std::map<std::pair<task_key, run_number>, unknown_run>;
--- a/src/plugins/jobs/tests/tst_given_up_runs.cpp
+++ b/src/plugins/jobs/tests/tst_given_up_runs.cpp
@@ -193,6 +193,47 @@
     CHECK(later.free() == later.info.capacity);
 }
 
+// Guards against a team that gets more than its cap while a run that is no task's current one is being
+// stopped.
+TEST_CASE("a run that is being stopped for an earlier one's result counts in its team's cap")
+{
+    task_on_silent_target t;
+    const start_command again = t.start_again();
+    t.f.report(again.target.id, {running(again)});
+    t.f.report(t.a, {}, {ended(t.starts[0], 1, run_end::done)});
+    REQUIRE(t.f.scheduler.find_job(job_id{"j"})->state() == job_state::completed);
+    for (const char* name : {"c", "d", "e", "f"}) {
+        t.f.add_target(name);
+        target_info info = t.f.info_of(name);
+        info.labels = {"free"};
+        t.f.scheduler.set_target(info, t.f.now());
+    }
+    // As much as the team may have.
+    t.f.add_job("full", 50, 2000, [](step_spec& s) { s.required_label = "free"; });
+    const std::string how = GENERATE(as<std::string>{}, "stopped", "host down", "silent");
+    CAPTURE(how);
+    t.f.advance(100ms);
+    const job* const full = t.f.scheduler.find_job(job_id{"full"});
+    t.f.plan_and_store();
+    t.f.plan_and_store();
+    CHECK(full->active_runs() == 49);
+    if (how == "host down") {
+        t.f.scheduler.on_host_taken_down(again.target.id, t.f.now());
+    } else if (how == "stopped") {
+        t.f.report(again.target.id, {}, {ended(again, 1, run_end::stopped)});
+    } else {
+        t.f.miss(again.target.id);
+        t.f.miss(again.target.id);
+        t.f.advance(1s);
+        t.f.plan_and_store();
+        CHECK(full->active_runs() == 49);
+        t.f.advance(8s); // Its lease is over.
+    }
+    t.f.advance(100ms);
+    t.f.plan_and_store();
+    CHECK(full->active_runs() == 50);
+}
+
 // Guards against targets that are left out of use although their lists prove that their leases were over.
 TEST_CASE("ends before the end of a lease in a target's list are acknowledged")
 {
