Give up a connection when the time for connecting is over

Cause: the timer of a call was armed again up to the call's deadline whenever that was still to come, also while the call was waiting for its connection.

Change: only a call that has been sent may be overdue.

Result: the new case of tst_http_client fails without the change.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -196,12 +196,15 @@
         }
         if (!call_)
             return;
-        if (sent_)
-            client_->close_suspects(endpoint_);
+        if (!sent_) {
+            fail(http_errc::not_connected);
+            return;
+        }
+        client_->close_suspects(endpoint_);
         if (steady::now() < call_->deadline)
             arm(call_->deadline); // The answer is overdue, but may still come.
         else
-            fail(sent_ ? http_errc::timed_out : http_errc::not_connected);
+            fail(http_errc::timed_out);
     }
 
     [[nodiscard]] steady::time_point overdue_at() const
--- a/src/libs/net/tests/tst_http_client.cpp
+++ b/src/libs/net/tests/tst_http_client.cpp
@@ -323,3 +323,26 @@
     boost::asio::write(fresh, buffer(ok));
     CHECK(next.get()->body == "ok");
 }
+
+// Guards against a connection that isn't given up when the time for connecting is over.
+TEST_CASE("guards against waiting for a connection beyond its time-out")
+{
+    io_runtime runtime;
+    runtime.start();
+    http_client_settings settings = patient();
+    settings.connect_timeout = std::chrono::milliseconds{200};
+    http_client client{runtime, settings};
+    boost::asio::io_context context;
+    tcp::acceptor full{context};
+    full.open(tcp::v4());
+    full.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+    full.listen(0); // Has room for one connection that isn't accepted.
+    std::vector<std::future<tl::expected<http_response, http_errc>>> calls;
+    for (int i = 0; i < 4; ++i)
+        calls.push_back(send_async(client, full.local_endpoint().port(), get_request()));
+    const auto gave_up = [](auto& call) {
+        return call.wait_for(std::chrono::seconds{30}) == std::future_status::ready &&
+               call.get().error() == http_errc::not_connected;
+    };
+    CHECK(gave_up(calls.back()));
+}
