Move no tasks for maintenance on an old view

Cause: the tasks of which a host has too many are moved before its maintenance is chosen, and the check of the views came with the choice only. On an old view a task could have been stopped that its step couldn't miss.

Change: move_excess_tasks checks the views, as the order does. An order that the platform doesn't have is called planned.

Result: tst_jobs passes; no case shows the difference by itself.

--- a/src/plugins/jobs/host_manager.cpp
+++ b/src/plugins/jobs/host_manager.cpp
@@ -393,7 +393,7 @@
 {
     host_cordons cordons;
     for (const auto& [id, pending] : pending_orders_)
-        (pending.never_sent() ? cordons.planned : cordons.ordered).insert(id);
+        (pending.is_planned() ? cordons.planned : cordons.ordered).insert(id);
     for (const auto& [name, w] : waves_) {
         for (const std::string& host : w.wave.hosts) {
             if (!w.record.done.contains(host))
@@ -446,7 +446,7 @@
         const pending_order& pending = entry.second;
         const bool move = pending.order.kind == host_order_kind::move;
         const timestamp waits_since = move ? pending.chosen_at : pending.refused_since.value_or(now);
-        const bool dropped = pending.never_sent() && now - waits_since > settings_.drain_timeout;
+        const bool dropped = pending.is_planned() && now - waits_since > settings_.drain_timeout;
         if (dropped && pending.refused_since)
             (move ? no_move_until_ : no_maintenance_until_)[entry.first] = now + settings_.move_pause;
         return dropped;
--- a/src/plugins/jobs/host_manager.h
+++ b/src/plugins/jobs/host_manager.h
@@ -104,8 +104,8 @@
         bool in_flight = false; ///< The order's call awaits its answer.
         bool restored = false;  ///< The previous leader stored the order and may have sent it.
 
-        /// Whether the platform can't carry the order out.
-        [[nodiscard]] bool never_sent() const
+        /// Whether the platform doesn't have the order: it was not sent, or was refused.
+        [[nodiscard]] bool is_planned() const
         {
             return outcome == order_outcome::not_done && !in_flight && !restored;
         }
--- a/src/plugins/jobs/host_waves.cpp
+++ b/src/plugins/jobs/host_waves.cpp
@@ -24,7 +24,7 @@
     std::erase_if(pending_orders_, [this](const auto& entry) {
         const auto& [id, pending] = entry;
         const auto host = hosts_.find(id);
-        if (pending.order.kind != host_order_kind::maintain || !pending.never_sent() ||
+        if (pending.order.kind != host_order_kind::maintain || !pending.is_planned() ||
             host == hosts_.end() || can_lose(host->second))
             return false;
         log_.info(
--- a/src/plugins/jobs/scheduler_hosts.cpp
+++ b/src/plugins/jobs/scheduler_hosts.cpp
@@ -199,7 +199,9 @@
 bool job_scheduler::move_excess_tasks(const target_id& id, scheduler_time time)
 {
     target_status* t = find_target(id);
-    if (t == nullptr || !leases_.may_grant(time.now))
+    // What else is unavailable can't be told from an old view, and a leader that may have been replaced can't
+    // start the tasks elsewhere.
+    if (t == nullptr || !may_start(time.now) || !leases_.may_grant(time.now))
         return false;
     bool moved = false;
     std::map<std::pair<job_id, std::uint32_t>, std::vector<task_position>> here;
