--- a/src/libs/net/tests/tst_http_client.cpp
+++ b/src/libs/net/tests/tst_http_client.cpp
@@ -337,10 +337,11 @@
     full.open(tcp::v4());
     full.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
     full.listen(0); // Has room for one connection that isn't accepted.
-    std::vector<std::future<tl::expected<http_response, http_errc>>> calls;
-    for (int i = 0; i < 4; ++i)
-        calls.push_back(send_async(client, full.local_endpoint().port(), get_request()));
-    const auto gave_up = [](auto& call) {
+    using pending_answer = std::future<tl::expected<http_response, http_errc>>;
+    std::vector<pending_answer> calls(4);
+    for (pending_answer& call : calls)
+        call = send_async(client, full.local_endpoint().port(), get_request());
+    const auto gave_up = [](pending_answer& call) {
         return call.wait_for(std::chrono::seconds{30}) == std::future_status::ready &&
                call.get().error() == http_errc::not_connected;
     };
